--- a/simhost/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use keeltrestle::{Action, Controller, Event, RequestId};
+use pipitlever::{Action, Controller, Event, RequestId};
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -151,7 +151,7 @@
             Err(error) => Some(error.to_string()),
         };
         if let Some(trouble) = trouble {
-            eprintln!("keeltrestle-simhost: line {number}: {}", trouble.replace('\n', " "));
+            eprintln!("pipitlever-adapter: line {number}: {}", trouble.replace('\n', " "));
             std::process::exit(1);
         }
     }
--- a/simhost/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -10,7 +10,7 @@
 "unheard":{"of":1}}"#;
 
 fn host(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_keeltrestle-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pipitlever-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -90,7 +90,7 @@
         assert_eq!(out.stdout, b"{\"steps\":[]}\n", "no partial reply");
         let error = String::from_utf8(out.stderr).expect("text");
         assert_eq!(error.lines().count(), 1, "{error}");
-        assert!(error.starts_with("keeltrestle-simhost: line 2: "), "{error}");
+        assert!(error.starts_with("pipitlever-adapter: line 2: "), "{error}");
     }
 }
 
@@ -127,5 +127,5 @@
     let out = host(&[batch(1, &[start("server-1")]), batch(2, &[item.to_string()])]);
     assert!(!out.status.success());
     let error = String::from_utf8(out.stderr).expect("text");
-    assert!(error.starts_with("keeltrestle-simhost: line 2: ") && error.contains("costTime"), "{error}");
+    assert!(error.starts_with("pipitlever-adapter: line 2: ") && error.contains("costTime"), "{error}");
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! keeltrestle decides, inside each server of a fleet, what the server takes, runs and turns away.
+//! pipitlever decides, inside each server of a fleet, what the server takes, runs and turns away.
 //!
 //! A host feeds a [`Controller`] what happens and carries out what it says. The controller reads no clock,
 //! starts no thread and shares nothing: the same events give the same actions.
 //!
 //! ```
-//! use keeltrestle::*;
+//! use pipitlever::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class { aim: 500_000, deadline: 2_000_000, ..Class::default() }],
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small host for the tests: it plays events, keeps its own books of the four rules and reports breaches.
 #![allow(dead_code)]
 
-use keeltrestle::*;
+use pipitlever::*;
 use std::collections::BTreeMap;
 
 /// One server of four cores with a free, a keyed and an unsafe class that all may call.
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use keeltrestle::*;
+use pipitlever::*;
 
 fn leaving() -> Controller {
     let mut c = Controller::new(settings(), 1);
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use keeltrestle::*;
+use pipitlever::*;
 
 /// i44e1ba: weak servers left requests unread for seconds while their line to start read low, so callers
 /// were told nothing. What stands unread counts: the level rises.
--- a/tests/modes.rs
+++ b/tests/modes.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use keeltrestle::*;
+use pipitlever::*;
 
 /// Four cores are taken up; then requests of low rank come one by one until the mode changes.
 fn full() -> (Controller, RequestId) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use keeltrestle::*;
+use pipitlever::*;
 
 struct Dice(u64);
 
