--- /dev/null
+++ b/node/src/core/counters.rs
@@ -0,0 +1,62 @@
+//! What the node has taken in, sent and answered; printed on request (SIGUSR1) and at exit.
+
+/// Plain counts since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    /// Requests read whole from either front.
+    pub requests: u64,
+    /// Repeats of a key that joined or reused another try.
+    pub repeats: u64,
+    /// Answers with a result.
+    pub served: u64,
+    /// Answers that promise that the try never ran.
+    pub refused: u64,
+    /// Answers without that promise.
+    pub failed: u64,
+    /// Requests whose caller left before its answer.
+    pub gone: u64,
+    /// Runs begun.
+    pub runs: u64,
+    /// Runs that ended well.
+    pub runs_fine: u64,
+    /// Calls placed with the layer below.
+    pub calls: u64,
+    /// Calls that went well.
+    pub calls_fine: u64,
+    /// Commands that the processor rejected.
+    pub rejected: u64,
+    /// Messages that broke the protocol, all parties together.
+    pub malformed: u64,
+    /// Connections accepted.
+    pub accepted: u64,
+    /// Times that accepting a connection failed.
+    pub accept_errors: u64,
+    /// Links to the processor that were set up.
+    pub links: u64,
+}
+
+impl std::fmt::Display for Counters {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let c = self;
+        write!(
+            f,
+            "requests={} repeats={} served={} refused={} failed={} gone={} runs={} runs_fine={} calls={} \
+             calls_fine={} rejected={} malformed={} accepted={} accept_errors={} links={}",
+            c.requests,
+            c.repeats,
+            c.served,
+            c.refused,
+            c.failed,
+            c.gone,
+            c.runs,
+            c.runs_fine,
+            c.calls,
+            c.calls_fine,
+            c.rejected,
+            c.malformed,
+            c.accepted,
+            c.accept_errors,
+            c.links
+        )
+    }
+}
--- /dev/null
+++ b/node/src/core/keys.rs
@@ -0,0 +1,107 @@
+//! The table of keys: who holds a key, who waits for the outcome, and the outcome once there is one.
+
+use pipitlever::{Micros, RequestId};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+/// How a keyed run came out; kept for as long as its entry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kept {
+    /// It was served with this result.
+    Served(Rc<[u8]>),
+    /// It failed and may have had its effect.
+    Failed,
+}
+
+/// The entry of one key.
+#[derive(Debug)]
+pub struct Entry {
+    /// The try that is held, runs, or ran.
+    pub holder: RequestId,
+    /// Tries that reach the machine up to this time are repeats.
+    pub until: Micros,
+    /// Whether a run of it may have begun: from then on the entry stays for its whole window.
+    pub begun: bool,
+    /// The outcome, once the run has ended.
+    pub kept: Option<Kept>,
+    /// Repeats that wait for the outcome.
+    pub waiting: Vec<RequestId>,
+}
+
+/// All entries. Bounded: a full table takes no new key and forgets none.
+#[derive(Debug)]
+pub struct Keys {
+    entries: HashMap<Rc<str>, Entry>,
+    expiry: BTreeSet<(Micros, Rc<str>)>,
+    holders: HashMap<RequestId, Rc<str>>,
+    capacity: usize,
+    /// A repeat may be read this long after it reached the machine.
+    reading: Micros,
+}
+
+impl Keys {
+    /// A table for this many keys, whose repeats may be read up to `reading` after they came.
+    pub fn new(capacity: usize, reading: Micros) -> Keys {
+        Keys { entries: HashMap::new(), expiry: BTreeSet::new(), holders: HashMap::new(), capacity, reading }
+    }
+
+    /// Whether a key that is not in the table would find no place.
+    pub fn full(&self) -> bool {
+        self.entries.len() >= self.capacity
+    }
+
+    /// The entry that a try repeats, if it came to the machine within that entry's time.
+    pub fn repeated(&self, key: &str, arrived: Micros) -> Option<&Entry> {
+        self.entries.get(key).filter(|e| arrived <= e.until)
+    }
+
+    /// The entry that this try holds.
+    pub fn held_by(&mut self, key: &str, id: RequestId) -> Option<&mut Entry> {
+        self.entries.get_mut(key).filter(|e| e.holder == id)
+    }
+
+    /// The key that this try holds.
+    pub fn key_of(&self, id: RequestId) -> Option<Rc<str>> {
+        self.holders.get(&id).cloned()
+    }
+
+    /// Enters a try under its key, or renews its entry. Another try's live entry is never overwritten.
+    pub fn keep(&mut self, key: &Rc<str>, id: RequestId, now: Micros, until: Micros) -> bool {
+        match self.entries.get_mut(key) {
+            Some(e) if e.holder != id && now <= e.until => return false,
+            Some(e) if e.holder == id => {
+                self.expiry.remove(&(e.until + self.reading, key.clone()));
+                e.until = e.until.max(until);
+            }
+            Some(_) => {
+                self.remove(key);
+            }
+            None => {}
+        }
+        let fresh = Entry { holder: id, until, begun: false, kept: None, waiting: Vec::new() };
+        let until = self.entries.entry(key.clone()).or_insert(fresh).until;
+        self.expiry.insert((until + self.reading, key.clone()));
+        self.holders.insert(id, key.clone());
+        true
+    }
+
+    /// Takes out an entry: the one place where it is given back.
+    pub fn remove(&mut self, key: &str) -> Option<Entry> {
+        let (key, entry) = self.entries.remove_entry(key)?;
+        self.expiry.remove(&(entry.until + self.reading, key));
+        self.holders.remove(&entry.holder);
+        Some(entry)
+    }
+
+    /// Drops what no repeat can name any more.
+    pub fn expire(&mut self, now: Micros) {
+        while let Some((_, key)) = self.expiry.first().filter(|e| e.0 < now).cloned() {
+            self.remove(&key);
+        }
+    }
+
+    /// Entries in the table.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+}
--- /dev/null
+++ b/node/src/core/mod.rs
@@ -0,0 +1,675 @@
+//! What is kept in memory: requests, attempts, outcomes. The module's decisions become effects here.
+//!
+//! The core knows no wire, no socket and no clock: it is told what happened and when, and leaves a list of
+//! effects to carry out. It decides no admission, no order and no run limit; that is the module's.
+
+pub mod counters;
+pub mod keys;
+
+use counters::Counters;
+use keys::{Kept, Keys};
+use pipitlever::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Requests in memory at once; what comes beyond is refused unheld. The module's own bound on memory is far
+/// lower on any real settings: this one keeps the process within its limit whatever the settings say.
+const MOST_REQUESTS: usize = 8192;
+/// Keys remembered at once; each may keep a result of some KiB.
+const MOST_KEYS: usize = 8192;
+/// Answers leave this long before the due time, so that they are out by it.
+const DUE_MARGIN: Micros = 10_000;
+/// What is told to a caller refused by the table limits above, or before the processor is up.
+const FULL_COOLDOWN: Micros = 200_000;
+/// The gauges are asked for this long before the module's timer that wants them.
+const GAUGE_LEAD: Micros = 5_000;
+/// Gauges older than this are not passed on.
+const GAUGE_AGE: Micros = 500_000;
+/// A call without a reply is given up this long after its deadline: the layer below answers by then.
+const CALL_GRACE: Micros = 50_000;
+
+/// Names a request to the outside: its `ref`, new with every try.
+pub type Reference = u64;
+
+/// Where the answer goes. The core only carries it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// The connection that the request came on.
+    pub connection: u64,
+    /// The request's number on that connection.
+    pub number: u64,
+}
+
+/// A request as a front read it.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    /// Its name, new with every try.
+    pub reference: Reference,
+    /// Where its answer goes.
+    pub origin: Origin,
+    /// Its class, by position in the settings.
+    pub class: usize,
+    /// When it came to the machine.
+    pub arrived: Micros,
+    /// When its caller stops waiting; the class's deadline after the arrival if it doesn't say.
+    pub due: Option<Micros>,
+    /// The work to expect, in microseconds on one core.
+    pub cost: Option<f64>,
+    /// The memory booked while it is held.
+    pub memory_kb: f64,
+    /// Its rank.
+    pub rank: f64,
+    /// A further try or a second copy.
+    pub retry: bool,
+    /// The same for all tries of one request, in keyed classes.
+    pub key: Option<Rc<str>>,
+    /// The body, as it came.
+    pub body: Rc<[u8]>,
+}
+
+/// The one final answer of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The result, unchanged.
+    Served(Rc<[u8]>),
+    /// This try never ran.
+    Refused {
+        /// How long the caller should keep away; 0 for no advice.
+        cooldown: Micros,
+        /// No other node should be tried.
+        nowhere: bool,
+    },
+    /// It may have run.
+    Failed {
+        /// It failed because its time was up.
+        expired: bool,
+    },
+}
+
+/// Something to be done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Give this answer.
+    Answer(Origin, Answer),
+    /// Start the run of a request of this class, with its body as it came.
+    Begin(Reference, usize, Rc<[u8]>),
+    /// Pass on the reply to the call that the run waits for.
+    Reply(Reference, Rc<[u8]>),
+    /// Place a call, given up at this time.
+    Call(Reference, Micros, Rc<[u8]>),
+    /// Give up a call.
+    Abandon(Reference),
+    /// Ask the processor for its gauges.
+    Gauges,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Well, with a result.
+    Fine,
+    /// It failed.
+    Fault,
+    /// It was stopped, or ended at a call since its request was over.
+    BrokenOff,
+    /// It never started.
+    NeverRan,
+}
+
+/// The processor's gauges, as far as it has them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Gauges {
+    /// Busy share of the cores.
+    pub core_use: Option<f64>,
+    /// All that needs a core.
+    pub on_cores: Option<f64>,
+    /// Share of memory in use.
+    pub memory_use: Option<f64>,
+    /// Open connections.
+    pub connections: Option<f64>,
+}
+
+/// A call that a run stands at.
+#[derive(Debug)]
+struct Call {
+    body: Rc<[u8]>,
+    /// When it was placed and is given up, if it is in the hands of the layer below.
+    placed: Option<(Micros, Micros)>,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// Waits to start, or for another try of its key.
+    Held,
+    /// A run may have begun.
+    Running { since: Micros, call: Option<Call> },
+}
+
+/// One request, owned by the table of requests alone from its arrival to its close.
+#[derive(Debug)]
+struct Attempt {
+    incoming: Incoming,
+    due: Micros,
+    /// Set while an answer is owed; taken by the answer.
+    origin: Option<Origin>,
+    /// The try whose outcome it shares.
+    repeats: Option<RequestId>,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Wake {
+    Gauges,
+    Timer(u64),
+    Due(RequestId),
+    Call(RequestId),
+}
+
+/// What the module is still to be told.
+#[derive(Debug)]
+enum Pending {
+    Event(Event),
+    Offer(Box<Attempt>),
+}
+
+/// The node's memory.
+pub struct Core {
+    settings: Settings,
+    seed: u64,
+    module: Option<Controller>,
+    now: Micros,
+    attempts: BTreeMap<RequestId, Attempt>,
+    by_reference: HashMap<Reference, RequestId>,
+    next_id: RequestId,
+    keys: Keys,
+    wakes: BTreeSet<(Micros, Wake)>,
+    pending: VecDeque<Pending>,
+    effects: Vec<Effect>,
+    owed: usize,
+    level: Option<f64>,
+    healthy: bool,
+    idle: Micros,
+    gauges: (Micros, Gauges),
+    /// Counts since the start.
+    pub counters: Counters,
+}
+
+impl Core {
+    /// A node whose processor is not up yet.
+    pub fn new(settings: Settings, seed: u64) -> Core {
+        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        Core {
+            idle: settings.keepalive_max,
+            settings,
+            seed,
+            module: None,
+            now: 0,
+            attempts: BTreeMap::new(),
+            by_reference: HashMap::new(),
+            next_id: 0,
+            keys: Keys::new(MOST_KEYS, longest),
+            wakes: BTreeSet::new(),
+            pending: VecDeque::new(),
+            effects: Vec::new(),
+            owed: 0,
+            level: None,
+            healthy: false,
+            gauges: (Micros::MIN / 2, Gauges::default()),
+            counters: Counters::default(),
+        }
+    }
+
+    /// The processor came up at this time, cold or warm. Later links to it change nothing.
+    pub fn up(&mut self, now: Micros, started: Micros, cold: bool) {
+        if self.module.is_some() {
+            return;
+        }
+        self.settings.cold |= cold;
+        self.module = Some(Controller::new(self.settings.clone(), self.seed));
+        // The module counts the time to warm up from its first step.
+        self.step(started.min(now), &[]);
+        self.step(now, &[]);
+    }
+
+    /// The level to tell with every answer, once there is one.
+    pub fn level(&self) -> Option<f64> {
+        self.level
+    }
+
+    /// What health checks hear.
+    pub fn healthy(&self) -> bool {
+        self.healthy
+    }
+
+    /// How long a connection may be idle.
+    pub fn idle(&self) -> Micros {
+        self.idle
+    }
+
+    /// Answers still owed.
+    pub fn owed(&self) -> usize {
+        self.owed
+    }
+
+    /// Requests, running ones and keys in memory.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        let running = self.attempts.values().filter(|a| matches!(a.stage, Stage::Running { .. }));
+        (self.attempts.len(), running.count(), self.keys.len())
+    }
+
+    /// What is to be done outside, in order.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When [`Core::wake`] is next wanted.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.wakes.first().map(|w| w.0)
+    }
+
+    /// Whether a request of this name is in memory.
+    pub fn knows(&self, reference: Reference) -> bool {
+        self.by_reference.contains_key(&reference)
+    }
+
+    /// A request was read. It is answered once from here on, unless its caller leaves.
+    pub fn arrived(&mut self, now: Micros, incoming: Incoming) {
+        self.counters.requests += 1;
+        let deadline = self.settings.classes[incoming.class].deadline;
+        let due = incoming.due.unwrap_or(incoming.arrived + deadline) - DUE_MARGIN;
+        let full = self.attempts.len() >= MOST_REQUESTS;
+        let no_place =
+            |key: &Rc<str>| self.keys.repeated(key, incoming.arrived).is_none() && self.keys.full();
+        if self.module.is_none() || full || incoming.key.as_ref().is_some_and(no_place) {
+            // Nothing may be forgotten to make room, so new work has to wait. Never offered, never run.
+            self.counters.refused += 1;
+            let answer = Answer::Refused { cooldown: FULL_COOLDOWN, nowhere: false };
+            self.effects.push(Effect::Answer(incoming.origin, answer));
+            return;
+        }
+        self.owed += 1;
+        let origin = Some(incoming.origin);
+        let attempt = Attempt { incoming, due, origin, repeats: None, stage: Stage::Held };
+        self.pending.push_back(Pending::Offer(Box::new(attempt)));
+        self.pump(now);
+    }
+
+    /// The caller of this request has gone: no answer is owed any more.
+    pub fn gone(&mut self, now: Micros, reference: Reference) {
+        let Some(&id) = self.by_reference.get(&reference) else { return };
+        let attempt = self.attempts.get_mut(&id).expect("both tables agree");
+        if attempt.origin.take().is_none() {
+            return;
+        }
+        self.owed -= 1;
+        self.counters.gone += 1;
+        if matches!(attempt.stage, Stage::Held) {
+            self.close(id);
+        }
+        self.tell(now, Event::Gone(id));
+    }
+
+    /// A run ended. `took` runs from its start, waits included.
+    pub fn run_ended(&mut self, now: Micros, reference: Reference, end: End, took: Micros, result: Rc<[u8]>) {
+        let Some(&id) = self.by_reference.get(&reference) else { return };
+        let attempt = &self.attempts[&id];
+        let Stage::Running { call, .. } = &attempt.stage else { return };
+        if call.as_ref().is_some_and(|c| c.placed.is_some()) {
+            self.effects.push(Effect::Abandon(reference));
+        }
+        let key = attempt.incoming.key.clone();
+        let (outcome, answer, kept) = match end {
+            End::Fine => {
+                self.counters.runs_fine += 1;
+                (Outcome::Done, Answer::Served(result.clone()), Some(Kept::Served(result)))
+            }
+            End::Fault => (Outcome::Error, Answer::Failed { expired: false }, Some(Kept::Failed)),
+            End::BrokenOff => (Outcome::Cancelled, Answer::Failed { expired: false }, Some(Kept::Failed)),
+            End::NeverRan => {
+                (Outcome::Moot, Answer::Refused { cooldown: FULL_COOLDOWN, nowhere: false }, None)
+            }
+        };
+        self.answer(id, answer.clone());
+        self.close(id);
+        self.pending.push_back(Pending::Event(Event::Finished { id, took, outcome }));
+        if let Some(key) = key {
+            self.settle(&key, id, kept, answer);
+        }
+        self.pump(now);
+    }
+
+    /// A run cannot go on without a call.
+    pub fn asked(&mut self, now: Micros, reference: Reference, body: Rc<[u8]>) {
+        let Some(&id) = self.by_reference.get(&reference) else { return };
+        let attempt = self.attempts.get_mut(&id).expect("both tables agree");
+        let Stage::Running { call, .. } = &mut attempt.stage else { return };
+        *call = Some(Call { body, placed: None });
+        self.tell(now, Event::NeedsCall(id));
+    }
+
+    /// A call ended; with a reply if it went well.
+    pub fn call_ended(&mut self, now: Micros, reference: Reference, outcome: Outcome, reply: Rc<[u8]>) {
+        let Some(&id) = self.by_reference.get(&reference) else { return };
+        let attempt = self.attempts.get_mut(&id).expect("both tables agree");
+        let Stage::Running { call, .. } = &mut attempt.stage else { return };
+        let Some((placed, given_up)) = call.as_mut().and_then(|c| c.placed.take()) else { return };
+        self.wakes.remove(&(given_up, Wake::Call(id)));
+        if outcome == Outcome::Done {
+            *call = None;
+            self.counters.calls_fine += 1;
+            self.effects.push(Effect::Reply(reference, reply));
+        }
+        self.tell(now, Event::CallEnded { id, took: (now - placed).max(0), outcome });
+    }
+
+    /// The processor did not carry out a command for this request. A rejected start never ran, but nobody
+    /// knows what became of earlier ones, so the request fails and stays remembered.
+    pub fn rejected(&mut self, now: Micros, reference: Reference, start: bool) {
+        self.counters.rejected += 1;
+        let Some(&id) = self.by_reference.get(&reference) else { return };
+        let Stage::Running { since, .. } = self.attempts[&id].stage else { return };
+        if start {
+            self.run_ended(now, reference, End::Fault, (now - since).max(0), Rc::from([]));
+        } else {
+            self.answer(id, Answer::Failed { expired: false });
+            self.tell(now, Event::Gone(id));
+        }
+    }
+
+    /// The processor's gauges.
+    pub fn gauges(&mut self, now: Micros, gauges: Gauges) {
+        self.gauges = (now, gauges);
+    }
+
+    /// A new link to the processor has brought all notices of the old one. A start that the old one may have
+    /// swallowed is sent again where it is safe to; a keyed one must not be, as its run may just have ended.
+    pub fn relinked(&mut self) {
+        for a in self.attempts.values() {
+            let free = self.settings.classes[a.incoming.class].idempotency == Idempotency::Free;
+            if free && a.origin.is_some() && matches!(a.stage, Stage::Running { call: None, .. }) {
+                let (class, body) = (a.incoming.class, a.incoming.body.clone());
+                self.effects.push(Effect::Begin(a.incoming.reference, class, body));
+            }
+        }
+    }
+
+    /// The notice to leave: the process stops after `left`.
+    pub fn leaving(&mut self, now: Micros, left: Micros) {
+        self.tell(now, Event::Leaving(left));
+        self.healthy = false;
+    }
+
+    /// Does what is due by now.
+    pub fn wake(&mut self, now: Micros) {
+        self.keys.expire(now);
+        while let Some(&(at, wake)) = self.wakes.first().filter(|w| w.0 <= now) {
+            self.wakes.pop_first();
+            match wake {
+                Wake::Gauges => self.effects.push(Effect::Gauges),
+                Wake::Timer(tag) => {
+                    let known = now - self.gauges.0 <= GAUGE_AGE;
+                    let g = if known { self.gauges.1 } else { Gauges::default() };
+                    let Gauges { core_use, on_cores, memory_use, connections } = g;
+                    self.tell(now, Event::Timer { tag, core_use, on_cores, memory_use, connections });
+                }
+                Wake::Due(id) => self.due(now, id),
+                Wake::Call(id) => {
+                    let Some(a) = self.attempts.get(&id) else { continue };
+                    let Stage::Running { call: Some(call), .. } = &a.stage else { continue };
+                    if call.placed.is_some() {
+                        let reference = a.incoming.reference;
+                        self.effects.push(Effect::Abandon(reference));
+                        self.call_ended(at.max(now), reference, Outcome::TimedOut, Rc::from([]));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The module answers what is due; should it ever not, the request still gets its answer.
+    fn due(&mut self, now: Micros, id: RequestId) {
+        if self.attempts.get(&id).is_none_or(|a| a.origin.is_none()) {
+            return;
+        }
+        self.step(now, &[]);
+        self.pump(now);
+        let Some(attempt) = self.attempts.get(&id).filter(|a| a.origin.is_some()) else { return };
+        let held = matches!(attempt.stage, Stage::Held);
+        self.answer(id, Answer::Failed { expired: true });
+        if held {
+            self.close(id);
+        }
+        self.tell(now, Event::Gone(id));
+    }
+
+    fn tell(&mut self, now: Micros, event: Event) {
+        self.pending.push_back(Pending::Event(event));
+        self.pump(now);
+    }
+
+    /// Tells the module one thing at a time: what it said to one may decide what the next one repeats.
+    fn pump(&mut self, now: Micros) {
+        while let Some(pending) = self.pending.pop_front() {
+            let event = match pending {
+                Pending::Event(event) => event,
+                Pending::Offer(attempt) => self.offer(now, *attempt),
+            };
+            self.step(now, &[event]);
+        }
+    }
+
+    fn step(&mut self, now: Micros, events: &[Event]) {
+        // The module's clock never goes back.
+        self.now = self.now.max(now);
+        let Some(module) = &mut self.module else { return };
+        let mut actions = Vec::new();
+        module.step(self.now, events, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    /// Enters a request under a new number, which no other try ever had.
+    fn offer(&mut self, now: Micros, mut attempt: Attempt) -> Event {
+        self.next_id += 1;
+        let id = self.next_id;
+        let incoming = &attempt.incoming;
+        let repeated = incoming.key.as_ref().and_then(|k| self.keys.repeated(k, incoming.arrived));
+        attempt.repeats = repeated.map(|e| e.holder);
+        let request = Request {
+            id,
+            class: incoming.class,
+            tenant: None,
+            has_key: false,
+            patience: Some(attempt.due - now),
+            cost: incoming.cost,
+            memory_kb: incoming.memory_kb,
+            rank: incoming.rank,
+            retry: incoming.retry,
+            write: incoming.key.is_some(),
+            queued: (now - incoming.arrived).max(0),
+            same_as: attempt.repeats,
+        };
+        self.by_reference.insert(incoming.reference, id);
+        self.wakes.insert((attempt.due, Wake::Due(id)));
+        self.attempts.insert(id, attempt);
+        Event::Arrived(request)
+    }
+
+    /// Carries out one action of the module's. Those on requests that are over do nothing.
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Run(id) => self.run(id),
+            Action::Reuse(id) => self.reuse(id),
+            Action::Refuse { id, backoff, no_retry } => {
+                let Some(attempt) = self.attempts.get(&id) else { return };
+                // Refused promises that this try never ran. The module may turn a running read away: to its
+                // caller that is a failure.
+                if matches!(attempt.stage, Stage::Held) {
+                    self.answer(id, Answer::Refused { cooldown: backoff, nowhere: no_retry });
+                    self.close(id);
+                } else {
+                    self.fail(id);
+                }
+            }
+            Action::Fail(id) => self.fail(id),
+            Action::Keep(id, lifetime) => {
+                let Some(attempt) = self.attempts.get(&id) else { return };
+                if let Some(key) = &attempt.incoming.key {
+                    self.keys.keep(key, id, attempt.incoming.arrived, self.now + lifetime);
+                }
+            }
+            Action::Forget(id) => self.forget(id),
+            Action::Call(id, within) => self.call(id, within),
+            Action::Level(level) => self.level = Some(level),
+            Action::Health(healthy) => self.healthy = healthy,
+            Action::CloseIdle(idle) => self.idle = idle,
+            Action::Timer(after, tag) => {
+                self.wakes.insert((self.now + after, Wake::Timer(tag)));
+                self.wakes.insert((self.now + after - GAUGE_LEAD, Wake::Gauges));
+            }
+            // Running work can't be halted and no call be skipped on sockets: the processor has no command
+            // for either, and the module asks for neither under such settings.
+            Action::Halt(_) | Action::SkipCall(_) => {}
+        }
+    }
+
+    fn run(&mut self, id: RequestId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        let keyed = self.settings.classes[attempt.incoming.class].idempotency == Idempotency::Keyed;
+        if keyed {
+            // No run without the entry that tells its repeats apart, and none on another try's entry.
+            let key = attempt.incoming.key.as_deref().unwrap_or_default();
+            let Some(entry) = self.keys.held_by(key, id).filter(|e| !e.begun) else {
+                let ended = Event::Finished { id, took: 0, outcome: Outcome::Moot };
+                self.pending.push_back(Pending::Event(ended));
+                self.answer(id, Answer::Failed { expired: false });
+                self.close(id);
+                return;
+            };
+            entry.begun = true;
+        }
+        attempt.stage = Stage::Running { since: self.now, call: None };
+        self.counters.runs += 1;
+        let incoming = &attempt.incoming;
+        self.effects.push(Effect::Begin(incoming.reference, incoming.class, incoming.body.clone()));
+    }
+
+    /// A repeat joins the try that has its key, or gets the outcome that is kept of it.
+    fn reuse(&mut self, id: RequestId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        self.counters.repeats += 1;
+        let key = attempt.incoming.key.clone().unwrap_or_else(|| Rc::from(""));
+        let holder = attempt.repeats.unwrap_or_default();
+        let kept = match self.keys.held_by(&key, holder) {
+            Some(entry) if entry.kept.is_none() => return entry.waiting.push(id),
+            Some(entry) => entry.kept.clone().expect("seen above"),
+            None => Kept::Failed,
+        };
+        self.share(id, &kept);
+    }
+
+    /// Gives a repeat the outcome of the try that it repeats.
+    fn share(&mut self, id: RequestId, kept: &Kept) {
+        let (answer, outcome) = match kept {
+            Kept::Served(result) => (Answer::Served(result.clone()), Outcome::Done),
+            Kept::Failed => (Answer::Failed { expired: false }, Outcome::Error),
+        };
+        self.answer(id, answer);
+        self.close(id);
+        self.pending.push_back(Pending::Event(Event::Finished { id, took: 0, outcome }));
+    }
+
+    /// A keyed run ended: its outcome is kept, and goes to those that wait for it.
+    fn settle(&mut self, key: &str, id: RequestId, kept: Option<Kept>, answer: Answer) {
+        let Some(kept) = kept else {
+            // It never ran, so its entry must not stand for a run.
+            if self.keys.held_by(key, id).is_some() {
+                let entry = self.keys.remove(key).expect("held");
+                self.release(entry.waiting, Some(answer));
+            }
+            return;
+        };
+        let Some(entry) = self.keys.held_by(key, id) else { return };
+        entry.kept = Some(kept.clone());
+        for waiting in std::mem::take(&mut entry.waiting) {
+            self.share(waiting, &kept);
+        }
+    }
+
+    /// The module dropped a try that never ran: its key is free again.
+    fn forget(&mut self, id: RequestId) {
+        // The request itself may have been closed by its answer, so the entry is looked for by its holder.
+        let Some(key) = self.keys.key_of(id) else { return };
+        if self.keys.held_by(&key, id).is_some_and(|e| e.begun) {
+            return;
+        }
+        let entry = self.keys.remove(&key).expect("held");
+        self.release(entry.waiting, None);
+    }
+
+    /// Repeats of a try that never ran: refused along with it, or offered to the module as what they now are,
+    /// requests of their own that came when they came.
+    fn release(&mut self, waiting: Vec<RequestId>, refusal: Option<Answer>) {
+        for id in waiting {
+            self.pending.push_back(Pending::Event(Event::Finished { id, took: 0, outcome: Outcome::Error }));
+            if let Some(answer) = &refusal {
+                self.answer(id, answer.clone());
+            }
+            if let Some(attempt) = self.close(id).filter(|a| a.origin.is_some()) {
+                self.pending.push_back(Pending::Offer(Box::new(attempt)));
+            }
+        }
+    }
+
+    fn call(&mut self, id: RequestId, within: Micros) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        let Stage::Running { call: Some(call), .. } = &mut attempt.stage else { return };
+        if call.placed.is_some() {
+            return;
+        }
+        self.counters.calls += 1;
+        let deadline = (self.now + within.clamp(0, 3_600_000_000)).min(attempt.due.max(self.now));
+        call.placed = Some((self.now, deadline + CALL_GRACE));
+        self.wakes.insert((deadline + CALL_GRACE, Wake::Call(id)));
+        self.effects.push(Effect::Call(attempt.incoming.reference, deadline, call.body.clone()));
+    }
+
+    fn fail(&mut self, id: RequestId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let held = matches!(attempt.stage, Stage::Held);
+        let expired = self.now >= attempt.due;
+        self.answer(id, Answer::Failed { expired });
+        if held {
+            self.close(id);
+        }
+    }
+
+    /// The final answer: taken once, whoever gives it.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(origin) = self.attempts.get_mut(&id).and_then(|a| a.origin.take()) else { return };
+        self.owed -= 1;
+        match answer {
+            Answer::Served(_) => self.counters.served += 1,
+            Answer::Refused { .. } => self.counters.refused += 1,
+            Answer::Failed { .. } => self.counters.failed += 1,
+        }
+        self.effects.push(Effect::Answer(origin, answer));
+    }
+
+    /// Takes a request out of every table: the one place where it is given back.
+    fn close(&mut self, id: RequestId) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&id)?;
+        self.by_reference.remove(&attempt.incoming.reference);
+        self.wakes.remove(&(attempt.due, Wake::Due(id)));
+        if let Stage::Running { call: Some(Call { placed: Some((_, given_up)), .. }), .. } = attempt.stage {
+            self.wakes.remove(&(given_up, Wake::Call(id)));
+        }
+        if let (Some(key), Some(holder)) = (&attempt.incoming.key, attempt.repeats) {
+            if let Some(entry) = self.keys.held_by(key, holder) {
+                entry.waiting.retain(|&w| w != id);
+            }
+        }
+        Some(attempt)
+    }
+}
--- /dev/null
+++ b/node/src/life/config.rs
@@ -0,0 +1,97 @@
+//! The node's configuration, read once at the start.
+
+use pipitlever::Settings;
+use pipitlever_settings::Config as SettingsConfig;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    listen: Option<SocketAddr>,
+    #[serde(default)]
+    processor: Option<SocketAddr>,
+    #[serde(default)]
+    members: Option<SocketAddr>,
+    #[serde(default)]
+    ledger: Option<SocketAddr>,
+    #[serde(default)]
+    seed: Option<String>,
+    stop_ms: u64,
+    #[serde(default)]
+    limits: Limits,
+    settings: SettingsConfig,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default = "sockets")]
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: sockets() }
+    }
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+/// All that a node is told.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where gateways connect.
+    pub listen: SocketAddr,
+    /// The processor, if there is one.
+    pub processor: Option<SocketAddr>,
+    /// The membership service, if there is one.
+    pub members: Option<SocketAddr>,
+    /// The ledger; the last tier has none.
+    pub ledger: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// From the notice to leave to the end of the process.
+    pub stop_ms: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names of the classes, by position.
+    pub classes: Vec<String>,
+    /// The names of the gauges, by position.
+    pub gauges: Vec<String>,
+}
+
+impl Config {
+    /// Reads the configuration's text. The name and the address may come from the environment instead.
+    pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+        let listen = match (file.listen, env("EDGE_LISTEN")) {
+            (Some(listen), _) => listen,
+            (None, Some(text)) => text.parse().map_err(|_| format!("EDGE_LISTEN: no address: {text}"))?,
+            (None, None) => return Err("no 'listen' in the configuration and no EDGE_LISTEN".into()),
+        };
+        let seed = match &file.seed {
+            Some(hex) => u64::from_str_radix(hex, 16).map_err(|_| format!("seed: not hex: {hex}"))?,
+            None => u64::from(std::process::id()),
+        };
+        Ok(Config {
+            name: file.name.or_else(|| env("EDGE_NAME")).unwrap_or_else(|| "node".into()),
+            listen,
+            processor: file.processor,
+            members: file.members,
+            ledger: file.ledger,
+            seed,
+            stop_ms: file.stop_ms,
+            sockets: file.limits.sockets,
+            classes: file.settings.class_names(),
+            gauges: file.settings.gauge_names().to_vec(),
+            settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
+        })
+    }
+}
--- /dev/null
+++ b/node/src/life/mod.rs
@@ -0,0 +1,5 @@
+//! Start and stop: the command line, the configuration, signals, the way out.
+
+pub mod command;
+pub mod config;
+pub mod serve;
--- /dev/null
+++ b/node/src/life/serve.rs
@@ -0,0 +1,92 @@
+//! Serves until told to stop, then leaves in order.
+
+use super::config::Config;
+use crate::net::hub::{Hub, Nudge, Shared};
+use crate::net::{ahead, by, gateway, ledger, membership, processor, timers};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Descriptors kept back from the fronts: the links, the signals, the poller, standard streams.
+const KEPT_BACK: usize = 64;
+/// The process ends this long before it would be killed, in milliseconds.
+const SPARE_MS: u64 = 150;
+/// After `goaway`, requests that were already on their way are waited for this long, in milliseconds.
+const CROSSING_MS: u64 = 500;
+
+/// Runs one node to its end.
+pub fn serve(config: Config) -> Result<(), String> {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(run(executor.clone(), config)))
+}
+
+async fn run(executor: Rc<LocalExecutor<'static>>, config: Config) -> Result<(), String> {
+    let signals = [Signal::Term, Signal::Int, Signal::Usr1];
+    let mut signals = Signals::new(signals).map_err(|e| format!("signals: {e}"))?;
+    let listener = Async::<TcpListener>::bind(config.listen)
+        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listen = listener.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
+    let hub = Hub::new(config.settings, config.classes, config.gauges, config.seed);
+    let hub: Shared = Rc::new(RefCell::new(hub));
+    hub.borrow_mut().ledger.exists = config.ledger.is_some();
+    executor.spawn(timers(hub.clone())).detach();
+    match config.processor {
+        Some(address) => executor.spawn(processor::link(hub.clone(), address)).detach(),
+        // Without a processor all work goes to workers, and the node is up at once.
+        None => hub.borrow_mut().tell(|core, now| core.up(now, now, false)),
+    }
+    if let Some(address) = config.ledger {
+        executor.spawn(ledger::calls(hub.clone(), address)).detach();
+    }
+    if let Some(address) = config.members {
+        executor.spawn(membership::reports(hub.clone(), address, config.name.clone())).detach();
+    }
+    let leave = Nudge::new();
+    let most = config.sockets.saturating_sub(KEPT_BACK).max(8);
+    let front = gateway::listen(executor.clone(), hub.clone(), listener, most, leave.clone());
+    executor.spawn(front).detach();
+    eprintln!("serving: name={} listen={listen}", config.name);
+
+    while let Some(signal) = signals.next().await {
+        if matches!(signal, Ok(Signal::Usr1)) {
+            print_counters(&hub);
+        } else {
+            break;
+        }
+    }
+    drain(&hub, &leave, config.stop_ms).await;
+    print_counters(&hub);
+    Ok(())
+}
+
+fn print_counters(hub: &Shared) {
+    let hub = hub.borrow();
+    let (requests, running, keys) = hub.core.sizes();
+    let connections = hub.connections();
+    eprintln!("counters: {}", hub.core.counters);
+    eprintln!("now: requests={requests} running={running} keys={keys} connections={connections}");
+}
+
+/// Leaves: nothing new is let in, all that was read is answered, and the end comes before the kill.
+async fn drain(hub: &Shared, leave: &Nudge, stop_ms: u64) {
+    let stop = ahead(stop_ms.saturating_sub(SPARE_MS));
+    let crossed = ahead(CROSSING_MS).min(stop);
+    eprintln!("draining: stop_ms={stop_ms} owed={}", hub.borrow().core.owed());
+    leave.give();
+    // The module keeps two ticks back from this for its last answers.
+    hub.borrow_mut().drain((stop_ms.saturating_sub(SPARE_MS) * 1000) as i64);
+    Timer::at(crossed).await;
+    let settled = async {
+        while !hub.borrow().settled() {
+            Timer::at(ahead(10)).await;
+        }
+    };
+    if by(stop.max(Instant::now()), settled).await.is_none() {
+        eprintln!("draining: stopped with owed={}", hub.borrow().core.owed());
+    }
+}
--- /dev/null
+++ b/node/src/net/hub.rs
@@ -0,0 +1,484 @@
+//! Where the drivers meet the core: who is connected, what is to be written, what the core is told.
+
+use super::clock::Clock;
+use crate::core::{Answer, Core, Effect, End, Gauges, Incoming, Origin, Reference};
+use crate::wire::jsonrpc::{self, Code, Message, Work};
+use crate::wire::ledger::CallEnd;
+use crate::wire::processor::{self, Notice, RunEnd};
+use async_channel::{Receiver, Sender};
+use pipitlever::{Idempotency, Micros, Outcome, Settings};
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+/// Bytes that may wait to be written to one connection before it is given up: all open answers and more.
+const MOST_QUEUED: usize = 256 << 10;
+/// And to all connections together.
+const MOST_QUEUED_IN_ALL: usize = 32 << 20;
+
+/// The hub as the drivers hold it: one thread, so a cell is enough.
+pub type Shared = Rc<RefCell<Hub>>;
+
+/// The front that a connection speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Front {
+    /// JSON-RPC, the platform's.
+    Gateway,
+}
+
+/// One connection of a front.
+#[derive(Debug)]
+struct Connection {
+    front: Front,
+    /// Gone once nothing more is to be written: the driver then flushes and closes.
+    out: Option<Sender<Vec<u8>>>,
+    queued: usize,
+    /// Requests without an answer, by their numbers here.
+    open: HashMap<u64, Reference>,
+    active: Micros,
+}
+
+/// A class of work, by position.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Whether its requests carry a key.
+    pub keyed: bool,
+}
+
+/// What is to be said to the ledger.
+#[derive(Clone, Debug)]
+pub enum ToLedger {
+    /// Place a call, waited for until this time.
+    Post(Reference, Micros, Rc<[u8]>),
+    /// Give one up.
+    Abandon(Reference),
+}
+
+/// Wakes a driver that waits for something to do.
+#[derive(Clone, Debug)]
+pub struct Nudge(Sender<()>, Receiver<()>);
+
+impl Nudge {
+    /// Nothing to do yet.
+    pub fn new() -> Nudge {
+        let (sender, receiver) = async_channel::bounded(1);
+        Nudge(sender, receiver)
+    }
+
+    /// There is something to do.
+    pub fn give(&self) {
+        // A nudge that is already there is enough.
+        let _ = self.0.try_send(());
+    }
+
+    /// Waits for the next nudge.
+    pub async fn wait(&self) {
+        let _ = self.1.recv().await;
+    }
+}
+
+/// What waits to be written to the processor, and how its link stands.
+#[derive(Debug)]
+pub struct Link {
+    /// Commands, each dropped once it is written whole.
+    pub commands: VecDeque<Vec<u8>>,
+    /// Something was added, or the processor is up.
+    pub nudge: Nudge,
+    /// The processor has said hi on this link.
+    pub up: bool,
+    links: u64,
+}
+
+/// What waits to be written to the ledger, and what it has been told.
+#[derive(Debug)]
+pub struct Ledger {
+    /// In order.
+    pub queue: VecDeque<ToLedger>,
+    /// Calls in its hands on the present connection.
+    pub posted: HashSet<Reference>,
+    /// Something was added.
+    pub nudge: Nudge,
+    /// Whether there is a ledger at all.
+    pub exists: bool,
+}
+
+/// All that the drivers share.
+pub struct Hub {
+    /// The node's memory.
+    pub core: Core,
+    /// The one clock.
+    pub clock: Clock,
+    /// The link to the processor.
+    pub link: Link,
+    /// The ledger's side.
+    pub ledger: Ledger,
+    /// The core's next wake has changed.
+    pub woken: Nudge,
+    /// A connection was closed.
+    pub freed: Nudge,
+    classes: Vec<Class>,
+    gauge_names: Vec<String>,
+    connections: HashMap<u64, Connection>,
+    next_connection: u64,
+    queued: usize,
+    draining: bool,
+    next_wake: Option<Micros>,
+}
+
+impl Hub {
+    /// A hub for these settings; classes and gauges by their names on the wire.
+    pub fn new(settings: Settings, names: Vec<String>, gauge_names: Vec<String>, seed: u64) -> Hub {
+        let keyed = settings.classes.iter().map(|c| c.idempotency == Idempotency::Keyed);
+        let classes = names.into_iter().zip(keyed).map(|(name, keyed)| Class { name, keyed }).collect();
+        Hub {
+            core: Core::new(settings, seed),
+            clock: Clock::start(),
+            link: Link { commands: VecDeque::new(), nudge: Nudge::new(), up: false, links: 0 },
+            ledger: Ledger {
+                queue: VecDeque::new(),
+                posted: HashSet::new(),
+                nudge: Nudge::new(),
+                exists: false,
+            },
+            woken: Nudge::new(),
+            freed: Nudge::new(),
+            classes,
+            gauge_names,
+            connections: HashMap::new(),
+            next_connection: 0,
+            queued: 0,
+            draining: false,
+            next_wake: None,
+        }
+    }
+
+    /// Tells the core something and carries out what comes of it.
+    pub fn tell(&mut self, tell: impl FnOnce(&mut Core, Micros)) {
+        tell(&mut self.core, self.clock.now());
+        loop {
+            let effects = self.core.effects();
+            if effects.is_empty() {
+                break;
+            }
+            effects.into_iter().for_each(|e| self.carry_out(e));
+        }
+        let next = self.core.next_wake();
+        if next != self.next_wake {
+            self.next_wake = next;
+            self.woken.give();
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer(origin, answer) => self.answer(origin, answer),
+            Effect::Begin(reference, class, body) => {
+                self.command(processor::begin(reference, &self.classes[class].name, &body));
+            }
+            Effect::Reply(reference, body) => self.command(processor::answer(reference, &body)),
+            Effect::Gauges => {
+                if self.link.up {
+                    self.command(processor::usage("gauges"));
+                }
+            }
+            Effect::Call(reference, deadline, body) => {
+                if self.ledger.exists {
+                    self.ledger.queue.push_back(ToLedger::Post(reference, deadline, body));
+                    self.ledger.nudge.give();
+                } else {
+                    // Not 'never ran': the module would place it again at once, and for ever.
+                    self.core.call_ended(self.clock.now(), reference, Outcome::Error, Rc::from([]));
+                }
+            }
+            Effect::Abandon(reference) => self.abandon(reference),
+        }
+    }
+
+    fn command(&mut self, command: Vec<u8>) {
+        self.link.commands.push_back(command);
+        self.link.nudge.give();
+    }
+
+    /// A call that was not sent yet is taken back; one in the ledger's hands is given up there.
+    fn abandon(&mut self, reference: Reference) {
+        self.ledger.queue.retain(|c| !matches!(c, ToLedger::Post(r, ..) if *r == reference));
+        if self.ledger.posted.remove(&reference) {
+            self.ledger.queue.push_back(ToLedger::Abandon(reference));
+            self.ledger.nudge.give();
+        }
+    }
+
+    fn answer(&mut self, origin: Origin, answer: Answer) {
+        let level = self.core.level();
+        let Some(connection) = self.connections.get_mut(&origin.connection) else { return };
+        connection.open.remove(&origin.number);
+        let number = origin.number;
+        let bytes = match connection.front {
+            Front::Gateway => match answer {
+                Answer::Served(result) if result.len() > jsonrpc::MOST_RESULT => {
+                    jsonrpc::failed(Some(number), Code::Failed, level)
+                }
+                Answer::Served(result) => jsonrpc::served(number, &result, level),
+                Answer::Refused { cooldown, nowhere } => {
+                    jsonrpc::refused(number, (cooldown as u64).div_ceil(1000), nowhere, level)
+                }
+                Answer::Failed { expired } => {
+                    let code = if expired { Code::Expired } else { Code::Failed };
+                    jsonrpc::failed(Some(number), code, level)
+                }
+            },
+        };
+        self.send(origin.connection, bytes);
+    }
+
+    /// Queues bytes for a connection. One whose peer does not read is given up.
+    fn send(&mut self, id: u64, bytes: Vec<u8>) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.active = self.clock.now();
+        let length = bytes.len();
+        let full = connection.queued + length > MOST_QUEUED || self.queued + length > MOST_QUEUED_IN_ALL;
+        let Some(out) = connection.out.as_ref().filter(|_| !full) else { return connection.out = None };
+        if out.try_send(bytes).is_ok() {
+            connection.queued += length;
+            self.queued += length;
+        }
+    }
+
+    /// A connection was accepted: its number, and where its driver finds what to write.
+    pub fn connected(&mut self, front: Front) -> (u64, Receiver<Vec<u8>>) {
+        self.next_connection += 1;
+        self.core.counters.accepted += 1;
+        let (sender, receiver) = async_channel::unbounded();
+        let out = Some(sender);
+        let active = self.clock.now();
+        let connection = Connection { front, out, queued: 0, open: HashMap::new(), active };
+        self.connections.insert(self.next_connection, connection);
+        if self.draining && front == Front::Gateway {
+            self.send(self.next_connection, jsonrpc::goaway());
+        }
+        (self.next_connection, receiver)
+    }
+
+    /// So many bytes were written to a connection.
+    pub fn written(&mut self, id: u64, length: usize) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.queued -= length;
+            self.queued -= length;
+        }
+    }
+
+    /// Nothing more will be read from a connection: it ends once what is queued is written.
+    pub fn finish(&mut self, id: u64) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.out = None;
+        }
+    }
+
+    /// A connection ended: the one place where it is given back, and its callers are taken to have gone.
+    pub fn disconnected(&mut self, id: u64) {
+        let Some(connection) = self.connections.remove(&id) else { return };
+        self.queued -= connection.queued;
+        self.freed.give();
+        for reference in connection.open.into_values() {
+            self.tell(|core, now| core.gone(now, reference));
+        }
+    }
+
+    /// Connections open on the fronts.
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// When a connection has been idle for too long; nothing while a request is open on it.
+    pub fn idle_at(&self, id: u64) -> Option<Micros> {
+        let connection = self.connections.get(&id)?;
+        connection.open.is_empty().then(|| connection.active + self.core.idle())
+    }
+
+    /// A gateway said something.
+    pub fn gateway(&mut self, id: u64, message: Message) {
+        let level = self.core.level();
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.active = self.clock.now();
+        match message {
+            Message::Work(work) => {
+                let number = work.id;
+                if connection.open.len() >= jsonrpc::MOST_OPEN {
+                    return self.malformed(id, Some(number), Code::Request);
+                }
+                match self.incoming(id, *work) {
+                    Ok(incoming) => self.take(id, number, incoming),
+                    Err(code) => self.malformed(id, Some(number), code),
+                }
+            }
+            Message::Alive(number) => {
+                let healthy = self.core.healthy();
+                self.send(id, jsonrpc::health(number, healthy, level));
+            }
+            Message::Cancel(number) => {
+                if let Some(reference) = connection.open.remove(&number) {
+                    self.tell(|core, now| core.gone(now, reference));
+                }
+            }
+            Message::Other => {}
+            Message::Bad(number, code) => self.malformed(id, number, code),
+        }
+    }
+
+    fn take(&mut self, id: u64, number: u64, incoming: Incoming) {
+        let connection = self.connections.get_mut(&id).expect("seen by the caller");
+        connection.open.insert(number, incoming.reference);
+        self.tell(|core, now| core.arrived(now, incoming));
+    }
+
+    fn malformed(&mut self, id: u64, number: Option<u64>, code: Code) {
+        self.core.counters.malformed += 1;
+        let level = self.core.level();
+        self.send(id, jsonrpc::failed(number, code, level));
+    }
+
+    fn incoming(&self, connection: u64, work: Work) -> Result<Incoming, Code> {
+        let class = self.classes.iter().position(|c| c.name == work.method).ok_or(Code::Method)?;
+        let keyed = self.classes[class].keyed;
+        if self.core.knows(work.reference) || (keyed && work.replay.is_none()) {
+            return Err(Code::Params);
+        }
+        let arrived = self.clock.of_unix((work.since * 1e3) as Micros);
+        Ok(Incoming {
+            reference: work.reference,
+            origin: Origin { connection, number: work.id },
+            class,
+            // A caller's clock ahead of ours must not stretch the window of its key.
+            arrived: arrived.min(self.clock.now()),
+            due: work.allow.map(|ms| arrived + (ms * 1e3) as Micros),
+            cost: work.effort.map(|ms| ms * 1e3),
+            memory_kb: work.room,
+            rank: work.class_rank,
+            retry: work.dup,
+            key: work.replay.filter(|_| keyed).map(Rc::from),
+            body: Rc::from(work.body),
+        })
+    }
+
+    /// A link to the processor was set up.
+    pub fn linked(&mut self) {
+        self.link.links += 1;
+        self.core.counters.links += 1;
+    }
+
+    /// The link to the processor broke. What was not written whole waits for the next one.
+    pub fn unlinked(&mut self) {
+        self.link.up = false;
+    }
+
+    /// The processor said something.
+    pub fn notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Hi { cold, ms } => {
+                self.link.up = true;
+                self.link.nudge.give();
+                self.tell(|core, now| core.up(now, now - (ms * 1e3) as Micros, cold));
+                if self.link.links > 1 {
+                    // Its answer comes behind all notices that the old link left unread.
+                    self.command(processor::usage(&self.caught_up()));
+                }
+            }
+            Notice::Complete { id, end, ms, result } => {
+                let end = match end {
+                    RunEnd::Fine => End::Fine,
+                    RunEnd::Fault => End::Fault,
+                    RunEnd::BrokenOff => End::BrokenOff,
+                    RunEnd::Late => End::NeverRan,
+                };
+                let took = (ms * 1e3) as Micros;
+                self.tell(|core, now| core.run_ended(now, id, end, took, Rc::from(result)));
+            }
+            Notice::Ask { id, body } => self.tell(|core, now| core.asked(now, id, Rc::from(body))),
+            Notice::Used { tag, gauges } => {
+                let named = |name: &str| {
+                    let at = self.gauge_names.iter().position(|n| n == name)?;
+                    gauges.get(at).copied().filter(|v| v.is_finite())
+                };
+                let gauges = Gauges {
+                    core_use: named("core_use"),
+                    on_cores: named("on_cores"),
+                    memory_use: named("heap_share"),
+                    connections: named("links"),
+                };
+                let caught_up = tag == self.caught_up();
+                self.tell(|core, now| {
+                    core.gauges(now, gauges);
+                    if caught_up {
+                        core.relinked();
+                    }
+                });
+            }
+            Notice::Reject { command, id } => {
+                let start = command == "begin";
+                self.tell(|core, now| core.rejected(now, id, start));
+            }
+        }
+    }
+
+    /// The tag that asks, on this link, whether all notices of the old one are read.
+    fn caught_up(&self) -> String {
+        format!("link{}", self.link.links)
+    }
+
+    /// The ledger answered a call.
+    pub fn called(&mut self, id: Reference, end: CallEnd, reply: Vec<u8>) {
+        if !self.ledger.posted.remove(&id) {
+            return;
+        }
+        let outcome = match end {
+            CallEnd::Posted => Outcome::Done,
+            CallEnd::QueueFull => Outcome::Busy,
+            // No run waits for it any more: its end is on its way, and another call would fare the same.
+            CallEnd::Error | CallEnd::Moot => Outcome::Error,
+            CallEnd::Expired => Outcome::TimedOut,
+        };
+        self.tell(|core, now| core.call_ended(now, id, outcome, Rc::from(reply)));
+    }
+
+    /// Nobody accepts connections where the ledger should be: none of the calls that wait has run.
+    pub fn ledger_unreachable(&mut self) {
+        for queued in std::mem::take(&mut self.ledger.queue) {
+            if let ToLedger::Post(id, ..) = queued {
+                self.tell(|core, now| core.call_ended(now, id, Outcome::Unreachable, Rc::from([])));
+            }
+        }
+    }
+
+    /// The connection to the ledger broke: nobody knows what became of the calls in its hands.
+    pub fn ledger_lost(&mut self) {
+        // Calls that were never written are for the next connection, and there is nothing to give up there.
+        self.ledger.queue.retain(|c| matches!(c, ToLedger::Post(..)));
+        for id in std::mem::take(&mut self.ledger.posted) {
+            self.tell(|core, now| core.call_ended(now, id, Outcome::Reset, Rc::from([])));
+        }
+    }
+
+    /// The notice to leave. From now on no gateway is to send anything new.
+    pub fn drain(&mut self, left: Micros) {
+        self.draining = true;
+        self.tell(|core, now| core.leaving(now, left));
+        let ids: Vec<u64> = self.connections.keys().copied().collect();
+        for id in ids {
+            if self.connections[&id].front == Front::Gateway {
+                self.send(id, jsonrpc::goaway());
+            }
+        }
+    }
+
+    /// Whether the node is on its way out.
+    pub fn draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether all that was read is answered and written.
+    pub fn settled(&self) -> bool {
+        self.core.owed() == 0 && self.queued == 0
+    }
+}
--- /dev/null
+++ b/node/src/net/membership.rs
@@ -0,0 +1,35 @@
+//! Reports to the membership service, well inside the 3 s after which it drops a silent node.
+
+use super::ahead;
+use super::hub::Shared;
+use crate::wire::membership::report;
+use async_io::{Async, Timer};
+use std::net::{SocketAddr, UdpSocket};
+
+/// Time between reports, in milliseconds: two may be lost or late before the third second is over.
+const EVERY_MS: u64 = 700;
+
+/// Reports for as long as the node takes requests. On its way out it says so once and falls silent, so that
+/// it is dropped from the list where the word alone has no effect.
+pub async fn reports(hub: Shared, address: SocketAddr, name: String) {
+    let local: SocketAddr = match address {
+        SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
+        SocketAddr::V6(_) => ([0u16; 8], 0).into(),
+    };
+    let mut socket = None;
+    loop {
+        let next = ahead(EVERY_MS);
+        let up = !hub.borrow().draining();
+        if socket.is_none() {
+            socket = Async::<UdpSocket>::bind(local).ok();
+        }
+        // A report that can't be sent is made up for by the next one.
+        if let Some(socket) = &socket {
+            let _ = socket.send_to(&report(&name, up), address).await;
+        }
+        if !up {
+            return;
+        }
+        Timer::at(next).await;
+    }
+}
--- /dev/null
+++ b/node/src/wire/jsonrpc.rs
@@ -0,0 +1,279 @@
+//! The platform's front: JSON-RPC 2.0, one message a line, no batches.
+
+use super::reference;
+use base64::{engine::general_purpose::STANDARD, Engine};
+use serde::Deserialize;
+use std::borrow::Cow;
+
+/// The longest line: a body of 2 KiB in base64 and its fields take under half of it.
+const MOST_LINE: usize = 8192;
+/// The longest body of a request.
+pub const MOST_BODY: usize = 2048;
+/// The longest result.
+pub const MOST_RESULT: usize = 4096;
+/// Requests that may be open on one connection.
+pub const MOST_OPEN: usize = 32;
+/// The longest key.
+const MOST_KEY: usize = 128;
+/// A caller waits no longer than this, in milliseconds; larger figures are errors.
+const MOST_ALLOW: f64 = 3_600_000.0;
+
+/// The protocol's errors: all but [`Code::Refused`] mean that the request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Code {
+    /// The line is no JSON.
+    Parse,
+    /// It is no request.
+    Request,
+    /// There is no such method.
+    Method,
+    /// The parameters are wrong.
+    Params,
+    /// This try never ran.
+    Refused,
+    /// It failed.
+    Failed,
+    /// It ran out of time.
+    Expired,
+}
+
+impl Code {
+    fn parts(self) -> (i64, &'static str) {
+        match self {
+            Code::Parse => (-32700, "parse error"),
+            Code::Request => (-32600, "invalid request"),
+            Code::Method => (-32601, "method not found"),
+            Code::Params => (-32602, "invalid params"),
+            Code::Refused => (-32000, "refused"),
+            Code::Failed => (-32001, "failed"),
+            Code::Expired => (-32002, "out of time"),
+        }
+    }
+}
+
+/// A request for a class of work, as it stands on the wire.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// Its number on the connection.
+    pub id: u64,
+    /// Its class, by name.
+    pub method: String,
+    /// Its name.
+    pub reference: u64,
+    /// When it came to the machine, in Unix milliseconds.
+    pub since: f64,
+    /// How long its caller waits from then, in milliseconds.
+    pub allow: Option<f64>,
+    /// A further try or a second copy.
+    pub dup: bool,
+    /// The work to expect, in milliseconds.
+    pub effort: Option<f64>,
+    /// Its memory while held, in KB.
+    pub room: f64,
+    /// Its rank.
+    pub class_rank: f64,
+    /// Its key, in keyed classes.
+    pub replay: Option<String>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// What a gateway says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// A request for work.
+    Work(Box<Work>),
+    /// A health check.
+    Alive(u64),
+    /// It stopped waiting for a request.
+    Cancel(u64),
+    /// A notification that means nothing here.
+    Other,
+    /// Something that is answered with an error.
+    Bad(Option<u64>, Code),
+}
+
+#[derive(Deserialize)]
+struct Envelope<'a> {
+    #[serde(borrow)]
+    jsonrpc: Option<Cow<'a, str>>,
+    #[serde(default)]
+    id: serde_json::Value,
+    #[serde(borrow)]
+    method: Option<Cow<'a, str>>,
+    #[serde(default)]
+    params: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Params {
+    #[serde(rename = "ref")]
+    reference: String,
+    since: f64,
+    #[serde(default)]
+    allow: Option<f64>,
+    #[serde(default)]
+    dup: Option<f64>,
+    #[serde(default)]
+    effort: Option<f64>,
+    room: f64,
+    class_rank: f64,
+    #[serde(default)]
+    replay: Option<String>,
+    doc: String,
+}
+
+/// One gateway's connection, as far as it is read.
+#[derive(Debug, Default)]
+pub struct Gateway {
+    buffer: Vec<u8>,
+    /// How far the buffer was searched for a line's end.
+    searched: usize,
+    last_id: u64,
+    broken: bool,
+}
+
+impl Gateway {
+    /// Takes in what was read.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if !self.broken {
+            self.buffer.extend_from_slice(bytes);
+        }
+    }
+
+    /// Whether the connection can't be read any further: its last message was an error and nothing follows.
+    pub fn broken(&self) -> bool {
+        self.broken
+    }
+
+    /// The next whole message.
+    pub fn next(&mut self) -> Option<Message> {
+        if self.broken {
+            return None;
+        }
+        let found = self.buffer[self.searched..].iter().position(|&b| b == b'\n');
+        let length = found.map_or(self.buffer.len(), |at| self.searched + at);
+        if length > MOST_LINE {
+            // Where its end lies is not worth looking for.
+            self.broken = true;
+            self.buffer = Vec::new();
+            return Some(Message::Bad(None, Code::Request));
+        }
+        if found.is_none() {
+            self.searched = length;
+            return None;
+        }
+        let line: Vec<u8> = self.buffer.drain(..=length).collect();
+        self.searched = 0;
+        Some(self.message(&line))
+    }
+
+    fn message(&mut self, line: &[u8]) -> Message {
+        let Ok(value) = serde_json::from_slice::<Envelope>(line) else {
+            let json = serde_json::from_slice::<serde::de::IgnoredAny>(line).is_ok();
+            return Message::Bad(None, if json { Code::Request } else { Code::Parse });
+        };
+        let Envelope { jsonrpc, id, method, params } = value;
+        let numbered = id.as_u64().filter(|&id| id > self.last_id);
+        let (true, Some(method)) = (jsonrpc.as_deref() == Some("2.0"), method) else {
+            return Message::Bad(numbered, Code::Request);
+        };
+        if id.is_null() {
+            let cancelled = params.get("id").and_then(serde_json::Value::as_u64);
+            return match (&*method, cancelled) {
+                ("cancelRequest", Some(id)) => Message::Cancel(id),
+                _ => Message::Other,
+            };
+        }
+        // Numbers count up from 1 and are new on their connection; another one could name an open request.
+        let Some(id) = numbered else { return Message::Bad(None, Code::Request) };
+        self.last_id = id;
+        if method == "alive" {
+            return Message::Alive(id);
+        }
+        match work(id, &method, params) {
+            Some(work) => Message::Work(Box::new(work)),
+            None => Message::Bad(Some(id), Code::Params),
+        }
+    }
+}
+
+fn work(id: u64, method: &str, params: serde_json::Value) -> Option<Work> {
+    let p: Params = serde_json::from_value(params).ok()?;
+    let within = |value: f64, least: f64, most: f64| (least..=most).contains(&value);
+    let right = within(p.since, 0.0, 1e14)
+        && p.allow.is_none_or(|v| within(v, 0.0, MOST_ALLOW))
+        && p.effort.is_none_or(|v| within(v, 0.0, 1e9))
+        && p.room > 0.0
+        && p.room < 2000.0
+        && p.class_rank >= 0.0
+        && p.class_rank < 1.0
+        && p.dup.is_none_or(|v| v == 0.0 || v == 1.0)
+        && p.replay.as_ref().is_none_or(|k| (1..=MOST_KEY).contains(&k.len()));
+    // Longer ones need not be decoded to be seen as too long.
+    let short = p.doc.len() <= MOST_BODY.div_ceil(3) * 4;
+    let body = STANDARD.decode(&p.doc).ok().filter(|b| right && short && b.len() <= MOST_BODY)?;
+    Some(Work {
+        id,
+        method: method.to_owned(),
+        reference: reference(&p.reference)?,
+        since: p.since,
+        allow: p.allow,
+        dup: p.dup == Some(1.0),
+        effort: p.effort,
+        room: p.room,
+        class_rank: p.class_rank,
+        replay: p.replay,
+        body,
+    })
+}
+
+fn pressure(level: Option<f64>) -> String {
+    level.map(|l| format!(",\"pressure\":{l}")).unwrap_or_default()
+}
+
+/// Served: the result, unchanged.
+pub fn served(id: u64, result: &[u8], level: Option<f64>) -> Vec<u8> {
+    let doc = STANDARD.encode(result);
+    format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"doc\":\"{doc}\"{}}}}}\n", pressure(level))
+        .into()
+}
+
+/// Refused, with advice: how many milliseconds to keep away, and whether to try no other node.
+pub fn refused(id: u64, cooldown: u64, nowhere: bool, level: Option<f64>) -> Vec<u8> {
+    let mut data = pressure(level);
+    if cooldown > 0 {
+        data += &format!(",\"cooldown\":{cooldown}");
+    }
+    if nowhere {
+        data += ",\"nowhere\":1";
+    }
+    error(Some(id), Code::Refused, &data)
+}
+
+/// Failed, or a message that could not be taken.
+pub fn failed(id: Option<u64>, code: Code, level: Option<f64>) -> Vec<u8> {
+    error(id, code, &pressure(level))
+}
+
+fn error(id: Option<u64>, code: Code, data: &str) -> Vec<u8> {
+    let (number, message) = code.parts();
+    let id = id.map_or("null".to_owned(), |id| id.to_string());
+    let data = data.strip_prefix(',').unwrap_or(data);
+    format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{number},\"message\":\"{message}\",\
+         \"data\":{{{data}}}}}}}\n"
+    )
+    .into()
+}
+
+/// The answer to a health check.
+pub fn health(id: u64, healthy: bool, level: Option<f64>) -> Vec<u8> {
+    let level = pressure(level);
+    format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"healthy\":{healthy}{level}}}}}\n").into()
+}
+
+/// No new request is to come on this connection.
+pub fn goaway() -> Vec<u8> {
+    b"{\"jsonrpc\":\"2.0\",\"method\":\"goaway\"}\n".to_vec()
+}
--- /dev/null
+++ b/node/src/wire/processor.rs
@@ -0,0 +1,211 @@
+//! The link to the processor: commands out, numbered notices in.
+
+use super::{number, reference, Framed, Malformed};
+
+/// How the processor says that a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// With a result.
+    Fine,
+    /// It failed.
+    Fault,
+    /// Stopped, or ended at a call as its request was over.
+    BrokenOff,
+    /// Nothing was started.
+    Late,
+}
+
+/// What the processor says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// It is up, since so many milliseconds; it was cold (`starting`) at its start or not.
+    Hi { cold: bool, ms: f64 },
+    /// A run is over after so many milliseconds.
+    Complete { id: u64, end: RunEnd, ms: f64, result: Vec<u8> },
+    /// A run waits for a call with this body.
+    Ask { id: u64, body: Vec<u8> },
+    /// The gauges, in the order of the settings.
+    Used { tag: String, gauges: Vec<f64> },
+    /// A command was not carried out.
+    Reject { command: String, id: u64 },
+}
+
+/// One processor over all its links: remembers the last notice, so that each is applied once.
+#[derive(Debug, Default)]
+pub struct Processor {
+    framed: Framed,
+    last: u64,
+}
+
+impl Processor {
+    /// The first message on a new link, which forgets what the old one left unfinished.
+    pub fn hello(&mut self) -> Vec<u8> {
+        self.framed = Framed::default();
+        format!("hello {}\r\n", self.last).into_bytes()
+    }
+
+    /// Takes in what was read.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.framed.feed(bytes);
+    }
+
+    /// The next notice. One that was seen before is skipped: a new link repeats what it is not sure of.
+    pub fn next(&mut self) -> Result<Option<Notice>, Malformed> {
+        // Only some notices carry a body: a run that ended otherwise than well may come without its length.
+        let has_body = |words: &[&str]| matches!(words, ["complete", _, _, _, _, _] | ["ask", ..]);
+        while let Some((words, body)) = self.framed.next(has_body)? {
+            let words: Vec<&str> = words.iter().map(String::as_str).collect();
+            let numbered = matches!(words[0], "complete" | "ask" | "remark");
+            if numbered {
+                let n = words.get(1).and_then(|w| number(w)).ok_or(Malformed)?;
+                if n <= self.last {
+                    continue;
+                }
+                self.last = n;
+            }
+            let id = |at: usize| words.get(at).and_then(|w| reference(w)).ok_or(Malformed);
+            // Times come with or without a fraction.
+            let figure = |at: usize| {
+                let value = words.get(at).and_then(|w| w.parse::<f64>().ok());
+                value.filter(|v| (0.0..1e15).contains(v)).ok_or(Malformed)
+            };
+            return Ok(Some(match words[0] {
+                "hi" => {
+                    let cold = match words.get(1) {
+                        Some(&"starting") => true,
+                        Some(&"running") => false,
+                        _ => return Err(Malformed),
+                    };
+                    Notice::Hi { cold, ms: figure(2)? }
+                }
+                "complete" => {
+                    let end = match words.get(3) {
+                        Some(&"fine") => RunEnd::Fine,
+                        Some(&"fault") => RunEnd::Fault,
+                        Some(&"broken_off") => RunEnd::BrokenOff,
+                        Some(&"late") => RunEnd::Late,
+                        _ => return Err(Malformed),
+                    };
+                    Notice::Complete { id: id(2)?, end, ms: figure(4)?, result: body }
+                }
+                "ask" => Notice::Ask { id: id(2)?, body },
+                "used" => {
+                    let gauges = words.iter().skip(2).map(|w| w.parse::<f64>().map_err(|_| Malformed));
+                    let tag = words.get(1).ok_or(Malformed)?.to_string();
+                    Notice::Used { tag, gauges: gauges.collect::<Result<_, _>>()? }
+                }
+                "reject" => {
+                    // A reject that names no request of ours concerns none.
+                    let command = words.get(1).ok_or(Malformed)?.to_string();
+                    Notice::Reject { command, id: id(2).unwrap_or(0) }
+                }
+                "remark" => continue,
+                _ => return Err(Malformed),
+            }));
+        }
+        Ok(None)
+    }
+}
+
+/// Run a request.
+pub fn begin(id: u64, class: &str, body: &[u8]) -> Vec<u8> {
+    with_body(format!("begin {id:016x} {class} {}", body.len()), body)
+}
+
+/// The reply to the call that a run waits for.
+pub fn answer(id: u64, reply: &[u8]) -> Vec<u8> {
+    with_body(format!("answer {id:016x} {}", reply.len()), reply)
+}
+
+/// Ask for the gauges.
+pub fn usage(tag: &str) -> Vec<u8> {
+    format!("usage {tag}\r\n").into_bytes()
+}
+
+/// A line, its body and the line ends of both.
+pub fn with_body(line: String, body: &[u8]) -> Vec<u8> {
+    let mut bytes = line.into_bytes();
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ID: u64 = 0x821b2d98a3d2e319;
+
+    fn complete(end: RunEnd, ms: f64, result: &[u8]) -> Notice {
+        Notice::Complete { id: ID, end, ms, result: result.to_vec() }
+    }
+
+    #[test]
+    fn notices_are_read_whole_or_in_pieces() {
+        let used = |gauges: &[f64]| Notice::Used { tag: "t".into(), gauges: gauges.to_vec() };
+        // Times with a fraction once broke the link: `complete 40 ... broken_off 1655.661 0`.
+        let cases: [(&str, Result<Option<Notice>, Malformed>); 18] = [
+            ("hi running 12.5\r\n", Ok(Some(Notice::Hi { cold: false, ms: 12.5 }))),
+            ("hi starting 0\r\n", Ok(Some(Notice::Hi { cold: true, ms: 0.0 }))),
+            (
+                "complete 1 821b2d98a3d2e319 broken_off 1655.661 0\r\n\r\n",
+                Ok(Some(complete(RunEnd::BrokenOff, 1655.661, b""))),
+            ),
+            (
+                "complete 1 821b2d98a3d2e319 fine 7 4\r\na\r\nb\r\n",
+                Ok(Some(complete(RunEnd::Fine, 7.0, b"a\r\nb"))),
+            ),
+            ("complete 1 821b2d98a3d2e319 fault 7\r\n", Ok(Some(complete(RunEnd::Fault, 7.0, b"")))),
+            ("complete 1 821b2d98a3d2e319 late 0 0\r\n\r\n", Ok(Some(complete(RunEnd::Late, 0.0, b"")))),
+            ("ask 2 821b2d98a3d2e319 1\r\nx\r\n", Ok(Some(Notice::Ask { id: ID, body: b"x".to_vec() }))),
+            ("used t 0.5 3 0.1 12\r\n", Ok(Some(used(&[0.5, 3.0, 0.1, 12.0])))),
+            (
+                "reject begin 821b2d98a3d2e319\r\n",
+                Ok(Some(Notice::Reject { command: "begin".into(), id: ID })),
+            ),
+            ("remark 3 hello there 4\r\n", Ok(None)),
+            ("complete 1 821b2d98a3d2e319 fine 7 4\r\nabc", Ok(None)),
+            ("complete 1 821b2d98a3d2e319 fine 7 1\r\nabcd", Err(Malformed)),
+            ("complete 1 821b2d98a3d2e319 fine -7 0\r\n\r\n", Err(Malformed)),
+            ("complete 1 821b2d98a3d2e319 well 7 0\r\n\r\n", Err(Malformed)),
+            ("complete x 821b2d98a3d2e319 fine 7 0\r\n\r\n", Err(Malformed)),
+            ("ask 2 821B2D98A3D2E319 0\r\n\r\n", Err(Malformed)),
+            ("ask 2 821b2d98a3d2e319 99999999\r\n", Err(Malformed)),
+            ("hi running 1\n", Err(Malformed)),
+        ];
+        for (text, expected) in cases {
+            let mut whole = Processor::default();
+            whole.feed(text.as_bytes());
+            assert_eq!(whole.next(), expected, "{text:?}");
+            let mut pieces = Processor::default();
+            let found = text.bytes().map(|b| {
+                pieces.feed(&[b]);
+                pieces.next()
+            });
+            let found = found.into_iter().find(|f| *f != Ok(None)).unwrap_or(Ok(None));
+            assert_eq!(found, expected, "{text:?} in pieces");
+        }
+    }
+
+    #[test]
+    fn a_line_without_end_breaks_the_link() {
+        let mut processor = Processor::default();
+        processor.feed(&[b'x'; 2000]);
+        assert_eq!(processor.next(), Err(Malformed));
+    }
+
+    #[test]
+    fn a_new_link_repeats_notices_and_each_is_applied_once() {
+        let mut processor = Processor::default();
+        assert_eq!(processor.hello(), b"hello 0\r\n");
+        processor.feed(b"complete 1 821b2d98a3d2e319 fine 7 1\r\na\r\nask 2 821b");
+        assert_eq!(processor.next(), Ok(Some(complete(RunEnd::Fine, 7.0, b"a"))));
+        assert_eq!(processor.next(), Ok(None));
+        // What the old link left unfinished is forgotten; what it brought whole is not taken again.
+        assert_eq!(processor.hello(), b"hello 1\r\n");
+        processor.feed(b"complete 1 821b2d98a3d2e319 fine 7 1\r\na\r\nask 2 821b2d98a3d2e319 0\r\n\r\n");
+        assert_eq!(processor.next(), Ok(Some(Notice::Ask { id: ID, body: Vec::new() })));
+        assert_eq!(processor.next(), Ok(None));
+    }
+}
