--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -15,8 +15,11 @@
 /// Requests in memory at once; what comes beyond is refused unheld. The module's own bound on memory is far
 /// lower on any real settings: this one keeps the process within its limit whatever the settings say.
 const MOST_REQUESTS: usize = 8192;
-/// Keys remembered at once; each may keep a result of some KiB.
+/// Keys remembered at once, and the memory that their results may take.
 const MOST_KEYS: usize = 8192;
+const MOST_KEPT: usize = 40 << 20;
+/// The memory that the bodies of all requests may take.
+const MOST_BODIES: usize = 32 << 20;
 /// Answers leave this long before the due time, so that they are out by it.
 const DUE_MARGIN: Micros = 10_000;
 /// What is told to a caller refused by the table limits above, or before the processor is up.
@@ -91,8 +94,9 @@
 pub enum Effect {
     /// Give this answer.
     Answer(Origin, Answer),
-    /// Start the run of a request of this class, with its body as it came.
-    Begin(Reference, usize, Rc<[u8]>),
+    /// Start the run of a request of this class, with its body as it came. Nobody wants its result after the
+    /// time given.
+    Begin(Reference, usize, Micros, Rc<[u8]>),
     /// Pass on the reply to the call that the run waits for.
     Reply(Reference, Rc<[u8]>),
     /// Place a call, given up at this time.
@@ -182,6 +186,10 @@
     by_reference: HashMap<Reference, RequestId>,
     next_id: RequestId,
     keys: Keys,
+    most_result: usize,
+    bodies: usize,
+    /// There is no processor to ask for gauges: runs are counted instead.
+    counted: bool,
     wakes: BTreeSet<(Micros, Wake)>,
     pending: VecDeque<Pending>,
     effects: Vec<Effect>,
@@ -195,8 +203,9 @@
 }
 
 impl Core {
-    /// A node whose processor is not up yet.
-    pub fn new(settings: Settings, seed: u64) -> Core {
+    /// A node whose processor is not up yet, and whose results are no longer than `most_result`.
+    pub fn new(settings: Settings, seed: u64, most_result: usize) -> Core {
+        let most_keys = MOST_KEYS.min(MOST_KEPT / most_result.max(1));
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Core {
             idle: settings.keepalive_max,
@@ -207,7 +216,10 @@
             attempts: BTreeMap::new(),
             by_reference: HashMap::new(),
             next_id: 0,
-            keys: Keys::new(MOST_KEYS, longest),
+            keys: Keys::new(most_keys, longest),
+            most_result,
+            bodies: 0,
+            counted: false,
             wakes: BTreeSet::new(),
             pending: VecDeque::new(),
             effects: Vec::new(),
@@ -219,6 +231,12 @@
         }
     }
 
+    /// All work goes to workers: the node is up at once, and how busy they are shows in the runs they have.
+    pub fn up_without_processor(&mut self, now: Micros) {
+        self.counted = true;
+        self.up(now, now, false);
+    }
+
     /// The processor came up at this time, cold or warm. Later links to it change nothing.
     pub fn up(&mut self, now: Micros, started: Micros, cold: bool) {
         if self.module.is_some() {
@@ -277,7 +295,8 @@
         self.counters.requests += 1;
         let deadline = self.settings.classes[incoming.class].deadline;
         let due = incoming.due.unwrap_or(incoming.arrived + deadline) - DUE_MARGIN;
-        let full = self.attempts.len() >= MOST_REQUESTS;
+        let bodies = self.bodies + incoming.body.len();
+        let full = self.attempts.len() >= MOST_REQUESTS || bodies > MOST_BODIES;
         let no_place =
             |key: &Rc<str>| self.keys.repeated(key, incoming.arrived).is_none() && self.keys.full();
         if self.module.is_none() || full || incoming.key.as_ref().is_some_and(no_place) {
@@ -288,6 +307,7 @@
             return;
         }
         self.owed += 1;
+        self.bodies = bodies;
         let origin = Some(incoming.origin);
         let attempt = Attempt { incoming, due, origin, repeats: None, stage: Stage::Held };
         self.pending.push_back(Pending::Offer(Box::new(attempt)));
@@ -318,6 +338,8 @@
             self.effects.push(Effect::Abandon(reference));
         }
         let key = attempt.incoming.key.clone();
+        // A result too long to be passed on can't be kept either.
+        let end = if end == End::Fine && result.len() > self.most_result { End::Fault } else { end };
         let (outcome, answer, kept) = match end {
             End::Fine => {
                 self.counters.runs_fine += 1;
@@ -388,7 +410,7 @@
             let free = self.settings.classes[a.incoming.class].idempotency == Idempotency::Free;
             if free && a.origin.is_some() && matches!(a.stage, Stage::Running { call: None, .. }) {
                 let (class, body) = (a.incoming.class, a.incoming.body.clone());
-                self.effects.push(Effect::Begin(a.incoming.reference, class, body));
+                self.effects.push(Effect::Begin(a.incoming.reference, class, a.due, body));
             }
         }
     }
@@ -408,7 +430,11 @@
                 Wake::Gauges => self.effects.push(Effect::Gauges),
                 Wake::Timer(tag) => {
                     let known = now - self.gauges.0 <= GAUGE_AGE;
-                    let g = if known { self.gauges.1 } else { Gauges::default() };
+                    let g = match known {
+                        _ if self.counted => self.counted_gauges(),
+                        true => self.gauges.1,
+                        false => Gauges::default(),
+                    };
                     let Gauges { core_use, on_cores, memory_use, connections } = g;
                     self.tell(now, Event::Timer { tag, core_use, on_cores, memory_use, connections });
                 }
@@ -426,6 +452,13 @@
         }
     }
 
+    /// Each worker serves one request at a time, so the runs in their hands are the cores in use.
+    fn counted_gauges(&self) -> Gauges {
+        let runs = self.sizes().1 as f64;
+        let core_use = Some((runs / self.settings.cores.max(1.0)).min(1.0));
+        Gauges { core_use, on_cores: Some(runs), ..Gauges::default() }
+    }
+
     /// The module answers what is due; should it ever not, the request still gets its answer.
     fn due(&mut self, now: Micros, id: RequestId) {
         if self.attempts.get(&id).is_none_or(|a| a.origin.is_none()) {
@@ -552,7 +585,11 @@
         attempt.stage = Stage::Running { since: self.now, call: None };
         self.counters.runs += 1;
         let incoming = &attempt.incoming;
-        self.effects.push(Effect::Begin(incoming.reference, incoming.class, incoming.body.clone()));
+        // A repeat may still want the outcome of a keyed run when its first caller does not.
+        let class = &self.settings.classes[incoming.class];
+        let until = if keyed { attempt.due.max(incoming.arrived + class.window) } else { attempt.due };
+        let begin = Effect::Begin(incoming.reference, incoming.class, until, incoming.body.clone());
+        self.effects.push(begin);
     }
 
     /// A repeat joins the try that has its key, or gets the outcome that is kept of it.
@@ -617,6 +654,7 @@
                 self.answer(id, answer.clone());
             }
             if let Some(attempt) = self.close(id).filter(|a| a.origin.is_some()) {
+                self.bodies += attempt.incoming.body.len();
                 self.pending.push_back(Pending::Offer(Box::new(attempt)));
             }
         }
@@ -661,6 +699,7 @@
     fn close(&mut self, id: RequestId) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
         self.by_reference.remove(&attempt.incoming.reference);
+        self.bodies -= attempt.incoming.body.len();
         self.wakes.remove(&(attempt.due, Wake::Due(id)));
         if let Stage::Running { call: Some(Call { placed: Some((_, given_up)), .. }), .. } = attempt.stage {
             self.wakes.remove(&(given_up, Wake::Call(id)));
--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -2,15 +2,19 @@
 
 use super::config::Config;
 use super::serve::serve;
+use crate::net::routes::Uwsgi;
 use lexopt::prelude::*;
 
 const HELP: &str = "\
 pipitlever: a rota node
 
-  pipitlever [serve] [--config FILE]   serve until SIGTERM (FILE: EDGE_CONFIG if not given)
-  pipitlever check [--config FILE]     read the configuration, say what it holds, and end
-  pipitlever version                   print the version
-  pipitlever help                      print this
+  pipitlever [serve] [--config FILE] [--uwsgi FILE]
+                       serve until SIGTERM; the configuration is EDGE_CONFIG's if not given, and the uwsgi
+                       front is off unless a file like deploy/uwsgi.toml is
+  pipitlever check [--config FILE] [--uwsgi FILE]
+                       read both files, say what they hold, and end
+  pipitlever version   print the version
+  pipitlever help      print this
 
 SIGTERM drains and ends; SIGUSR1 prints the counters.
 ";
@@ -19,6 +23,7 @@
 pub fn run() -> Result<(), String> {
     let mut parser = lexopt::Parser::from_env();
     let mut verb = None;
+    let mut uwsgi = None;
     let mut config = std::env::var("EDGE_CONFIG").ok();
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
@@ -26,6 +31,10 @@
                 let value = parser.value().map_err(|e| e.to_string())?;
                 config = Some(value.string().map_err(|e| e.to_string())?);
             }
+            Long("uwsgi") => {
+                let value = parser.value().map_err(|e| e.to_string())?;
+                uwsgi = Some(value.string().map_err(|e| e.to_string())?);
+            }
             Long("help") | Short('h') => verb = Some("help".to_owned()),
             Long("version") | Short('V') => verb = Some("version".to_owned()),
             Value(word) if verb.is_none() => verb = Some(word.string().map_err(|e| e.to_string())?),
@@ -35,13 +44,20 @@
     let read = |path: Option<String>| {
         let path = path.ok_or("no configuration: give --config FILE or set EDGE_CONFIG")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-        Config::read(&text, |name| std::env::var(name).ok())
+        let mut config = Config::read(&text, |name| std::env::var(name).ok())?;
+        if let Some(path) = uwsgi {
+            let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+            config.uwsgi = Uwsgi::read(&text, &config.classes).map_err(|e| format!("{path}: {e}"))?;
+        }
+        Ok::<Config, String>(config)
     };
     match verb.as_deref().unwrap_or("serve") {
         "serve" => serve(read(config)?),
         "check" => {
             let c = read(config)?;
             println!("name={} listen={} classes={}", c.name, c.listen, c.classes.join(","));
+            let listen = c.uwsgi.listen.map_or("off".into(), |at| at.to_string());
+            println!("uwsgi={listen} workers={} routes={}", c.uwsgi.workers.len(), c.uwsgi.routes.len());
             Ok(())
         }
         "version" => {
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -1,5 +1,6 @@
 //! The node's configuration, read once at the start.
 
+use crate::net::routes::Uwsgi;
 use pipitlever::Settings;
 use pipitlever_settings::Config as SettingsConfig;
 use serde::Deserialize;
@@ -65,6 +66,8 @@
     pub classes: Vec<String>,
     /// The names of the gauges, by position.
     pub gauges: Vec<String>,
+    /// The uwsgi front, the workers and the routes; off unless a file says otherwise.
+    pub uwsgi: Uwsgi,
 }
 
 impl Config {
@@ -91,6 +94,7 @@
             sockets: file.limits.sockets,
             classes: file.settings.class_names(),
             gauges: file.settings.gauge_names().to_vec(),
+            uwsgi: Uwsgi::default(),
             settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
         })
     }
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -1,8 +1,8 @@
 //! Serves until told to stop, then leaves in order.
 
 use super::config::Config;
-use crate::net::hub::{Hub, Nudge, Shared};
-use crate::net::{ahead, by, gateway, ledger, membership, processor, timers};
+use crate::net::hub::{Front, Hub, Nudge, Shared};
+use crate::net::{ahead, by, front, ledger, membership, processor, timers, workers};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -28,17 +28,23 @@
 async fn run(executor: Rc<LocalExecutor<'static>>, config: Config) -> Result<(), String> {
     let signals = [Signal::Term, Signal::Int, Signal::Usr1];
     let mut signals = Signals::new(signals).map_err(|e| format!("signals: {e}"))?;
-    let listener = Async::<TcpListener>::bind(config.listen)
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let listen = listener.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
-    let hub = Hub::new(config.settings, config.classes, config.gauges, config.seed);
+    let mut listeners = vec![(Front::Gateway, config.listen)];
+    listeners.extend(config.uwsgi.listen.map(|at| (Front::Uwsgi, at)));
+    let listeners = listeners.into_iter().map(|(front, at)| {
+        let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
+        Ok((front, at, bound))
+    });
+    let listeners = listeners.collect::<Result<Vec<_>, String>>()?;
+    let workers = config.uwsgi.workers.clone();
+    let hub = Hub::new(config.settings, config.classes, config.gauges, config.seed, config.uwsgi);
     let hub: Shared = Rc::new(RefCell::new(hub));
     hub.borrow_mut().ledger.exists = config.ledger.is_some();
     executor.spawn(timers(hub.clone())).detach();
     match config.processor {
         Some(address) => executor.spawn(processor::link(hub.clone(), address)).detach(),
         // Without a processor all work goes to workers, and the node is up at once.
-        None => hub.borrow_mut().tell(|core, now| core.up(now, now, false)),
+        None => hub.borrow_mut().tell(|core, now| core.up_without_processor(now)),
     }
     if let Some(address) = config.ledger {
         executor.spawn(ledger::calls(hub.clone(), address)).detach();
@@ -46,11 +52,17 @@
     if let Some(address) = config.members {
         executor.spawn(membership::reports(hub.clone(), address, config.name.clone())).detach();
     }
-    let leave = Nudge::new();
+    executor.spawn(workers::runs(executor.clone(), hub.clone(), workers)).detach();
     let most = config.sockets.saturating_sub(KEPT_BACK).max(8);
-    let front = gateway::listen(executor.clone(), hub.clone(), listener, most, leave.clone());
-    executor.spawn(front).detach();
-    eprintln!("serving: name={} listen={listen}", config.name);
+    let mut leave = Vec::new();
+    for (front, at, listener) in listeners {
+        let nudge = Nudge::new();
+        leave.push(nudge.clone());
+        let accepting = front::listen(executor.clone(), hub.clone(), front, listener, most, nudge);
+        executor.spawn(accepting).detach();
+        let protocol = if front == Front::Gateway { "json-rpc" } else { "uwsgi" };
+        eprintln!("serving: name={} protocol={protocol} listen={at}", config.name);
+    }
 
     while let Some(signal) = signals.next().await {
         if matches!(signal, Ok(Signal::Usr1)) {
@@ -73,11 +85,11 @@
 }
 
 /// Leaves: nothing new is let in, all that was read is answered, and the end comes before the kill.
-async fn drain(hub: &Shared, leave: &Nudge, stop_ms: u64) {
+async fn drain(hub: &Shared, leave: &[Nudge], stop_ms: u64) {
     let stop = ahead(stop_ms.saturating_sub(SPARE_MS));
     let crossed = ahead(CROSSING_MS).min(stop);
     eprintln!("draining: stop_ms={stop_ms} owed={}", hub.borrow().core.owed());
-    leave.give();
+    leave.iter().for_each(Nudge::give);
     // The module keeps two ticks back from this for its last answers.
     hub.borrow_mut().drain((stop_ms.saturating_sub(SPARE_MS) * 1000) as i64);
     Timer::at(crossed).await;
--- a/node/src/net/gateway.rs
+++ b/node/src/net/front.rs
@@ -1,8 +1,9 @@
-//! The platform's front: accepts gateways and carries their lines.
+//! The fronts: accept connections and carry what is said on them, lines of gateways or uwsgi packets.
 
 use super::hub::{Front, Nudge, Shared};
 use super::{ahead, by};
 use crate::wire::jsonrpc::Gateway;
+use crate::wire::uwsgi::Client;
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -15,6 +16,7 @@
 pub async fn listen(
     executor: Rc<LocalExecutor<'static>>,
     hub: Shared,
+    front: Front,
     listener: Async<TcpListener>,
     most: usize,
     leave: Nudge,
@@ -23,7 +25,7 @@
         let Ok(stream) = Async::new(stream) else { return };
         // Answers are small and wanted at once; a socket without the option still works.
         let _ = stream.get_ref().set_nodelay(true);
-        executor.spawn(connection(hub.clone(), stream)).detach();
+        executor.spawn(connection(hub.clone(), front, stream)).detach();
     };
     let accepting = async {
         let freed = hub.borrow().freed.clone();
@@ -48,10 +50,13 @@
     }
 }
 
-async fn connection(hub: Shared, stream: Async<TcpStream>) {
-    let (id, out) = hub.borrow_mut().connected(Front::Gateway);
+async fn connection(hub: Shared, front: Front, stream: Async<TcpStream>) {
+    let (id, out) = hub.borrow_mut().connected(front);
     let reading = async {
-        read(&hub, id, &stream).await;
+        match front {
+            Front::Gateway => read_lines(&hub, id, &stream).await,
+            Front::Uwsgi => read_packet(&hub, id, &stream).await,
+        }
         false
     };
     let writing = async {
@@ -72,7 +77,8 @@
     }
 }
 
-async fn read(hub: &Shared, id: u64, mut stream: &Async<TcpStream>) {
+/// Reads a gateway's lines until it closes.
+async fn read_lines(hub: &Shared, id: u64, mut stream: &Async<TcpStream>) {
     let mut machine = Gateway::default();
     let mut bytes = vec![0; 8192];
     while let Ok(n) = stream.read(&mut bytes).await {
@@ -90,8 +96,23 @@
     }
 }
 
+/// Reads one packet, and then only looks out for the client's leaving.
+async fn read_packet(hub: &Shared, id: u64, mut stream: &Async<TcpStream>) {
+    let mut machine = Some(Client::new(hub.borrow().uwsgi.most_body));
+    let mut bytes = vec![0; 8192];
+    while let Ok(n) = stream.read(&mut bytes).await {
+        if n == 0 {
+            return;
+        }
+        if let Some(packet) = machine.as_mut().and_then(|m| m.feed(&bytes[..n])) {
+            machine = None;
+            hub.borrow_mut().uwsgi_packet(id, packet);
+        }
+    }
+}
+
 /// Writes what is queued until nothing more will be.
-pub async fn write(hub: &Shared, id: u64, mut stream: &Async<TcpStream>, out: Receiver<Vec<u8>>) {
+async fn write(hub: &Shared, id: u64, mut stream: &Async<TcpStream>, out: Receiver<Vec<u8>>) {
     while let Ok(bytes) = out.recv().await {
         if stream.write_all(&bytes).await.is_err() {
             return;
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -1,10 +1,12 @@
 //! Where the drivers meet the core: who is connected, what is to be written, what the core is told.
 
 use super::clock::Clock;
+use super::routes::{Backend, Uwsgi};
 use crate::core::{Answer, Core, Effect, End, Gauges, Incoming, Origin, Reference};
 use crate::wire::jsonrpc::{self, Code, Message, Work};
 use crate::wire::ledger::CallEnd;
 use crate::wire::processor::{self, Notice, RunEnd};
+use crate::wire::uwsgi::{self, Packet, Response, Status};
 use async_channel::{Receiver, Sender};
 use pipitlever::{Idempotency, Micros, Outcome, Settings};
 use std::cell::RefCell;
@@ -24,6 +26,8 @@
 pub enum Front {
     /// JSON-RPC, the platform's.
     Gateway,
+    /// The uwsgi protocol: one request a connection.
+    Uwsgi,
 }
 
 /// One connection of a front.
@@ -33,8 +37,8 @@
     /// Gone once nothing more is to be written: the driver then flushes and closes.
     out: Option<Sender<Vec<u8>>>,
     queued: usize,
-    /// Requests without an answer, by their numbers here.
-    open: HashMap<u64, Reference>,
+    /// Requests without an answer, by their numbers here, with their classes.
+    open: HashMap<u64, (Reference, usize)>,
     active: Micros,
 }
 
@@ -45,6 +49,21 @@
     pub name: String,
     /// Whether its requests carry a key.
     pub keyed: bool,
+    /// The path under which workers serve it; without one it is the processor's.
+    pub workers_path: Option<String>,
+    /// The rank of its requests where the wire has none: the middle of its band.
+    rank: f64,
+}
+
+/// A run for a worker: the request, its packet, and when nobody wants the result any more.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request.
+    pub reference: Reference,
+    /// What the worker is sent.
+    pub packet: Rc<[u8]>,
+    /// The run is given up then.
+    pub until: Micros,
 }
 
 /// What is to be said to the ledger.
@@ -118,6 +137,13 @@
     pub woken: Nudge,
     /// A connection was closed.
     pub freed: Nudge,
+    /// The notice to leave has come.
+    pub leaving: Nudge,
+    /// The uwsgi front's settings.
+    pub uwsgi: Uwsgi,
+    /// Runs for workers, in order, and their driver's nudge.
+    pub jobs: (VecDeque<Job>, Nudge),
+    names: u64,
     classes: Vec<Class>,
     gauge_names: Vec<String>,
     connections: HashMap<u64, Connection>,
@@ -129,11 +155,33 @@
 
 impl Hub {
     /// A hub for these settings; classes and gauges by their names on the wire.
-    pub fn new(settings: Settings, names: Vec<String>, gauge_names: Vec<String>, seed: u64) -> Hub {
-        let keyed = settings.classes.iter().map(|c| c.idempotency == Idempotency::Keyed);
-        let classes = names.into_iter().zip(keyed).map(|(name, keyed)| Class { name, keyed }).collect();
+    pub fn new(
+        settings: Settings,
+        names: Vec<String>,
+        gauge_names: Vec<String>,
+        seed: u64,
+        uwsgi: Uwsgi,
+    ) -> Hub {
+        let all = &settings.classes;
+        let class = |(name, class): (String, &pipitlever::Class)| {
+            // Classes have equal bands of rank, in ascending order of worth.
+            let below = all.iter().filter(|c| c.worth < class.worth).count() as f64;
+            let route = uwsgi.routes.iter().find(|r| r.class == name && r.backend == Backend::Workers);
+            Class {
+                keyed: class.idempotency == Idempotency::Keyed,
+                workers_path: route.map(|r| r.path.clone()),
+                rank: (below + 0.5) / all.len() as f64,
+                name,
+            }
+        };
+        let classes: Vec<Class> = names.into_iter().zip(all).map(class).collect();
+        let worked = classes.iter().any(|c| c.workers_path.is_some());
+        let most_result = if worked { uwsgi.most_response } else { jsonrpc::MOST_RESULT };
         Hub {
-            core: Core::new(settings, seed),
+            core: Core::new(settings, seed, most_result),
+            uwsgi,
+            jobs: (VecDeque::new(), Nudge::new()),
+            names: seed,
             clock: Clock::start(),
             link: Link { commands: VecDeque::new(), nudge: Nudge::new(), up: false, links: 0 },
             ledger: Ledger {
@@ -144,6 +192,7 @@
             },
             woken: Nudge::new(),
             freed: Nudge::new(),
+            leaving: Nudge::new(),
             classes,
             gauge_names,
             connections: HashMap::new(),
@@ -174,7 +223,11 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Answer(origin, answer) => self.answer(origin, answer),
-            Effect::Begin(reference, class, body) => {
+            Effect::Begin(reference, class, until, packet) if self.classes[class].workers_path.is_some() => {
+                self.jobs.0.push_back(Job { reference, packet, until });
+                self.jobs.1.give();
+            }
+            Effect::Begin(reference, class, _, body) => {
                 self.command(processor::begin(reference, &self.classes[class].name, &body));
             }
             Effect::Reply(reference, body) => self.command(processor::answer(reference, &body)),
@@ -213,14 +266,19 @@
     fn answer(&mut self, origin: Origin, answer: Answer) {
         let level = self.core.level();
         let Some(connection) = self.connections.get_mut(&origin.connection) else { return };
-        connection.open.remove(&origin.number);
+        let Some((_, class)) = connection.open.remove(&origin.number) else { return };
+        let worked = self.classes[class].workers_path.is_some();
         let number = origin.number;
-        let bytes = match connection.front {
+        let front = connection.front;
+        let bytes = match front {
             Front::Gateway => match answer {
-                Answer::Served(result) if result.len() > jsonrpc::MOST_RESULT => {
-                    jsonrpc::failed(Some(number), Code::Failed, level)
+                Answer::Served(result) => {
+                    let result = if worked { Response::plain_body(&result) } else { Some(&*result) };
+                    match result.filter(|r| r.len() <= jsonrpc::MOST_RESULT) {
+                        Some(result) => jsonrpc::served(number, result, level),
+                        None => jsonrpc::failed(Some(number), Code::Failed, level),
+                    }
                 }
-                Answer::Served(result) => jsonrpc::served(number, &result, level),
                 Answer::Refused { cooldown, nowhere } => {
                     jsonrpc::refused(number, (cooldown as u64).div_ceil(1000), nowhere, level)
                 }
@@ -229,8 +287,21 @@
                     jsonrpc::failed(Some(number), code, level)
                 }
             },
+            Front::Uwsgi => match answer {
+                Answer::Served(result) if worked => result.to_vec(),
+                Answer::Served(result) => uwsgi::response(Status::Ok, None, &result),
+                Answer::Refused { cooldown, .. } => {
+                    let seconds = (cooldown as u64).div_ceil(1_000_000);
+                    uwsgi::response(Status::Unavailable, Some(seconds), b"")
+                }
+                Answer::Failed { expired: true } => uwsgi::response(Status::GatewayTimeout, None, b""),
+                Answer::Failed { expired: false } => uwsgi::response(Status::BadGateway, None, b""),
+            },
         };
         self.send(origin.connection, bytes);
+        if front == Front::Uwsgi {
+            self.finish(origin.connection);
+        }
     }
 
     /// Queues bytes for a connection. One whose peer does not read is given up.
@@ -281,7 +352,7 @@
         let Some(connection) = self.connections.remove(&id) else { return };
         self.queued -= connection.queued;
         self.freed.give();
-        for reference in connection.open.into_values() {
+        for (reference, _) in connection.open.into_values() {
             self.tell(|core, now| core.gone(now, reference));
         }
     }
@@ -318,7 +389,7 @@
                 self.send(id, jsonrpc::health(number, healthy, level));
             }
             Message::Cancel(number) => {
-                if let Some(reference) = connection.open.remove(&number) {
+                if let Some((reference, _)) = connection.open.remove(&number) {
                     self.tell(|core, now| core.gone(now, reference));
                 }
             }
@@ -329,7 +400,7 @@
 
     fn take(&mut self, id: u64, number: u64, incoming: Incoming) {
         let connection = self.connections.get_mut(&id).expect("seen by the caller");
-        connection.open.insert(number, incoming.reference);
+        connection.open.insert(number, (incoming.reference, incoming.class));
         self.tell(|core, now| core.arrived(now, incoming));
     }
 
@@ -346,6 +417,23 @@
             return Err(Code::Params);
         }
         let arrived = self.clock.of_unix((work.since * 1e3) as Micros);
+        let body = match &self.classes[class].workers_path {
+            None => work.body,
+            Some(path) => {
+                let length = work.body.len().to_string();
+                let mut vars = vec![
+                    ("REQUEST_METHOD", "POST"),
+                    ("REQUEST_URI", path),
+                    ("PATH_INFO", path),
+                    ("QUERY_STRING", ""),
+                    ("SERVER_PROTOCOL", "HTTP/1.1"),
+                    ("CONTENT_TYPE", "application/octet-stream"),
+                    ("CONTENT_LENGTH", &length),
+                ];
+                vars.extend(work.replay.as_deref().map(|key| ("HTTP_IDEMPOTENCY_KEY", key)));
+                uwsgi::packet(&vars, &work.body).ok_or(Code::Params)?
+            }
+        };
         Ok(Incoming {
             reference: work.reference,
             origin: Origin { connection, number: work.id },
@@ -358,10 +446,67 @@
             rank: work.class_rank,
             retry: work.dup,
             key: work.replay.filter(|_| keyed).map(Rc::from),
-            body: Rc::from(work.body),
+            body: Rc::from(body),
+        })
+    }
+
+    /// A uwsgi client's packet is whole, or wrong. What is wrong gets its status and is never run.
+    pub fn uwsgi_packet(&mut self, id: u64, packet: Result<Packet, Status>) {
+        match packet.and_then(|p| self.uwsgi_incoming(id, &p)) {
+            Ok(incoming) => self.take(id, incoming.origin.number, incoming),
+            Err(status) => {
+                self.core.counters.malformed += 1;
+                self.send(id, uwsgi::response(status, None, b""));
+                self.finish(id);
+            }
+        }
+    }
+
+    fn uwsgi_incoming(&mut self, connection: u64, packet: &Packet) -> Result<Incoming, Status> {
+        let route = self.uwsgi.route(packet.path()?).ok_or(Status::NotFound)?;
+        let class = self.classes.iter().position(|c| c.name == route.class).ok_or(Status::NotFound)?;
+        let Class { keyed, rank, .. } = self.classes[class];
+        let key = packet.key()?.filter(|_| keyed);
+        if keyed && key.is_none() {
+            return Err(Status::BadRequest);
+        }
+        let allow = packet.allow()?.unwrap_or(route.deadline_ms.unwrap_or(self.uwsgi.deadline_ms));
+        let body = match route.backend {
+            Backend::Workers => packet.bytes(),
+            Backend::Processor if packet.body().len() > jsonrpc::MOST_BODY => return Err(Status::TooLarge),
+            Backend::Processor => packet.body(),
+        };
+        let arrived = self.clock.now();
+        let (key, body, memory_kb) = (key.map(Rc::from), Rc::from(body), self.uwsgi.room_kb);
+        Ok(Incoming {
+            reference: self.new_name(),
+            origin: Origin { connection, number: 1 },
+            class,
+            arrived,
+            due: Some(arrived + (allow * 1000) as Micros),
+            cost: None,
+            memory_kb,
+            rank,
+            retry: false,
+            key,
+            body,
         })
     }
 
+    /// A name for a request that came without one (splitmix64 over the node's seed), unlike any in memory.
+    fn new_name(&mut self) -> Reference {
+        loop {
+            self.names = self.names.wrapping_add(0x9e37_79b9_7f4a_7c15);
+            let mut z = self.names;
+            z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+            z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+            z ^= z >> 31;
+            if !self.core.knows(z) {
+                return z;
+            }
+        }
+    }
+
     /// A link to the processor was set up.
     pub fn linked(&mut self) {
         self.link.links += 1;
@@ -463,6 +608,7 @@
     /// The notice to leave. From now on no gateway is to send anything new.
     pub fn drain(&mut self, left: Micros) {
         self.draining = true;
+        self.leaving.give();
         self.tell(|core, now| core.leaving(now, left));
         let ids: Vec<u64> = self.connections.keys().copied().collect();
         for id in ids {
--- a/node/src/net/membership.rs
+++ b/node/src/net/membership.rs
@@ -1,9 +1,9 @@
 //! Reports to the membership service, well inside the 3 s after which it drops a silent node.
 
-use super::ahead;
 use super::hub::Shared;
+use super::{ahead, by};
 use crate::wire::membership::report;
-use async_io::{Async, Timer};
+use async_io::Async;
 use std::net::{SocketAddr, UdpSocket};
 
 /// Time between reports, in milliseconds: two may be lost or late before the third second is over.
@@ -16,6 +16,7 @@
         SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
         SocketAddr::V6(_) => ([0u16; 8], 0).into(),
     };
+    let leaving = hub.borrow().leaving.clone();
     let mut socket = None;
     loop {
         let next = ahead(EVERY_MS);
@@ -30,6 +31,7 @@
         if !up {
             return;
         }
-        Timer::at(next).await;
+        // The way out may be shorter than the time to the next report.
+        by(next, leaving.wait()).await;
     }
 }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -1,11 +1,13 @@
 //! Thin drivers on smol: they read, write and wait; what it means is decided in `wire` and `core`.
 
 pub mod clock;
-pub mod gateway;
+pub mod front;
 pub mod hub;
 pub mod ledger;
 pub mod membership;
 pub mod processor;
+pub mod routes;
+pub mod workers;
 
 use async_io::Timer;
 use futures_lite::future;
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,369 @@
+//! Stand-ins for all that a node talks to, each as small as its page of the protocol allows, and a node to
+//! talk to them. Everything is on loopback, on ports that the system picks; everything waits for events.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Nothing that is waited for takes this long: past it the test has failed.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// No processor listens there: the port was free a moment ago.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+pub fn base64(bytes: &[u8]) -> String {
+    use ::base64::Engine;
+    ::base64::engine::general_purpose::STANDARD.encode(bytes)
+}
+
+fn settings() -> Value {
+    let class = |name: &str, kind: &str, worth: f64| {
+        json!({"name": name, "idempotency": kind, "target": 2200000, "deadline": 6700000,
+               "memorySpan": 20049000, "worth": worth, "lateWorth": 0.2})
+    };
+    json!({
+        "categories": [class("rota-view", "free", 1.0), class("swap-confirm", "guarded", 5.0)],
+        "familyInfo": {"below": "tier", "blowup": 8.0, "classCalls": [true, true], "cold": false, "cpus": 6,
+            "heapKb": 56166.0, "keyKb": 2.0, "keepaliveMax": 15000000, "passesDeadline": true,
+            "say": "threshold", "stopMode": "silent", "gauges": ["core_use", "on_cores", "heap_share", "links"]},
+        "limits": {"maxRetryAfter": 1000000},
+        "safety": {"answerSlack": 100000, "cold": 18000000, "coldFrom": 0.21, "drainGrace": 2500000,
+            "tipAfter": 3000000, "tipMultiple": 5.0}
+    })
+}
+
+/// A node under test, ended with it.
+pub struct Node {
+    child: Child,
+    pub gateways: SocketAddr,
+    pub uwsgi: Option<SocketAddr>,
+    lines: Receiver<String>,
+}
+
+impl Node {
+    /// Starts a node with these parties, and a uwsgi file with this text.
+    pub fn start(parties: Value, uwsgi: Option<&str>) -> Node {
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let name = format!("pipitlever-{}-{}", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+        let file = |end: &str| std::env::temp_dir().join(format!("{name}.{end}"));
+        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "stop_ms": 5000, "settings": settings()});
+        config.as_object_mut().unwrap().extend(parties.as_object().unwrap().clone());
+        std::fs::write(file("json"), config.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pipitlever"));
+        command.arg("serve").arg("--config").arg(file("json"));
+        if let Some(text) = uwsgi {
+            std::fs::write(file("toml"), text).unwrap();
+            command.arg("--uwsgi").arg(file("toml"));
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("starts");
+        let (sender, lines) = channel();
+        let log = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
+        let listening = || -> SocketAddr {
+            let line = lines.recv_timeout(PATIENCE).expect("the node says where it listens");
+            line.rsplit_once("listen=").expect("the first lines").1.parse().unwrap()
+        };
+        let gateways = listening();
+        let uwsgi = uwsgi.map(|_| listening());
+        Node { child, gateways, uwsgi, lines }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// The next line of the log that begins so.
+    pub fn line(&self, start: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no line {start}"));
+            if line.starts_with(start) {
+                return line;
+            }
+        }
+    }
+
+    /// A counter from the line that the node ends with.
+    pub fn counter(line: &str, name: &str) -> u64 {
+        let word = line.split(' ').find_map(|w| w.strip_prefix(&format!("{name}=")));
+        word.unwrap_or_else(|| panic!("no {name} in {line}")).parse().unwrap()
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    pub fn gateway(&self) -> Gateway {
+        let stream = TcpStream::connect(self.gateways).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Gateway { lines: BufReader::new(stream.try_clone().unwrap()), stream, id: 0 }
+    }
+
+    /// A gateway, once the node takes requests.
+    pub fn ready(&self) -> Gateway {
+        let mut gateway = self.gateway();
+        loop {
+            let id = gateway.send("alive", json!({}));
+            let answer = gateway.receive();
+            assert_eq!(answer["id"], id);
+            if answer["result"]["healthy"] == true {
+                return gateway;
+            }
+        }
+    }
+
+    pub fn client(&self, packet: &[u8]) -> TcpStream {
+        let mut stream = TcpStream::connect(self.uwsgi.expect("the front is on")).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(packet).unwrap();
+        stream
+    }
+
+    /// One uwsgi request from start to end: status and the whole response.
+    pub fn uwsgi(&self, packet: &[u8]) -> (u16, String) {
+        response(self.client(packet))
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn response(mut stream: TcpStream) -> (u16, String) {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).expect("a response and the end");
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let status = text.strip_prefix("HTTP/1.").and_then(|t| t.get(2..5)).and_then(|s| s.parse().ok());
+    (status.unwrap_or_else(|| panic!("no HTTP: {text:?}")), text)
+}
+
+pub struct Gateway {
+    stream: TcpStream,
+    lines: BufReader<TcpStream>,
+    id: u64,
+}
+
+impl Gateway {
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    pub fn send(&mut self, method: &str, params: Value) -> u64 {
+        self.id += 1;
+        let message = json!({"jsonrpc": "2.0", "id": self.id, "method": method, "params": params});
+        self.raw(format!("{message}\n").as_bytes());
+        self.id
+    }
+
+    pub fn notify(&mut self, method: &str, params: Value) {
+        self.raw(format!("{}\n", json!({"jsonrpc": "2.0", "method": method, "params": params})).as_bytes());
+    }
+
+    /// The next message; `Null` at the end of the connection.
+    pub fn receive(&mut self) -> Value {
+        let mut line = String::new();
+        self.lines.read_line(&mut line).expect("a message");
+        if line.is_empty() {
+            return Value::Null;
+        }
+        serde_json::from_str(&line).unwrap()
+    }
+}
+
+/// The parameters of a request that waits so long, with a key if one is given.
+pub fn work(allow: u64, key: Option<&str>, body: &[u8]) -> Value {
+    static COUNT: AtomicU64 = AtomicU64::new(1);
+    let reference = format!("{:016x}", COUNT.fetch_add(1, Ordering::Relaxed));
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let mut params = json!({"ref": reference, "since": since, "sender": 1, "allow": allow, "effort": 12.5,
+        "room": 24.5, "class_rank": 0.625, "doc": base64(body)});
+    if let Some(key) = key {
+        params["replay"] = json!(key);
+    }
+    params
+}
+
+/// A stand-in for the processor: commands come out as they were read, notices are said as a test wants.
+pub struct Processor {
+    listener: TcpListener,
+    link: Option<(TcpStream, BufReader<TcpStream>)>,
+    pub hello: String,
+    notices: u64,
+}
+
+impl Processor {
+    pub fn new() -> Processor {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Processor { listener, link: None, hello: String::new(), notices: 0 }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Takes the node's link and its hello.
+    pub fn accept(&mut self) {
+        let stream = self.listener.accept().unwrap().0;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        self.link = Some((stream.try_clone().unwrap(), BufReader::new(stream)));
+        self.hello = self.read_line();
+    }
+
+    pub fn say(&mut self, bytes: &[u8]) {
+        self.link.as_mut().unwrap().0.write_all(bytes).unwrap();
+    }
+
+    pub fn up(&mut self) {
+        self.accept();
+        self.say(b"hi running 1000.5\r\n");
+    }
+
+    pub fn cut(&mut self) {
+        self.link.take().unwrap().0.shutdown(Shutdown::Both).unwrap();
+    }
+
+    fn read_line(&mut self) -> String {
+        let mut line = String::new();
+        self.link.as_mut().unwrap().1.read_line(&mut line).expect("a command");
+        line.trim_end_matches("\r\n").to_owned()
+    }
+
+    /// The next command other than `usage`, which is answered, and its body.
+    pub fn command(&mut self) -> (Vec<String>, Vec<u8>) {
+        loop {
+            let words: Vec<String> = self.read_line().split(' ').map(str::to_owned).collect();
+            if words[0] == "usage" {
+                let used = format!("used {} 0.5 1 0.1 2\r\n", words[1]);
+                self.say(used.as_bytes());
+                continue;
+            }
+            let length: usize = words.last().unwrap().parse().unwrap_or_else(|_| panic!("{words:?}"));
+            let mut body = vec![0; length + 2];
+            self.link.as_mut().unwrap().1.read_exact(&mut body).unwrap();
+            assert_eq!(body.split_off(length), b"\r\n");
+            return (words, body);
+        }
+    }
+
+    /// The next `begin`: the id and the body.
+    pub fn begin(&mut self) -> (String, Vec<u8>) {
+        let (words, body) = self.command();
+        assert_eq!(words[0], "begin", "{words:?}");
+        (words[1].clone(), body)
+    }
+
+    pub fn notice(&mut self, before: &str, after: &str, body: &[u8]) {
+        self.notices += 1;
+        let head = format!("{before} {} {after} {}\r\n", self.notices, body.len());
+        self.say(&[head.as_bytes(), body, b"\r\n"].concat());
+    }
+
+    pub fn complete(&mut self, id: &str, end: &str, result: &[u8]) {
+        self.notice("complete", &format!("{id} {end} 12.25"), result);
+    }
+
+    /// Serves every run with its own body until the node goes, in a thread; each body is reported.
+    pub fn echo(mut self) -> Receiver<Vec<u8>> {
+        let (sender, bodies) = channel();
+        std::thread::spawn(move || loop {
+            let mut line = String::new();
+            let (stream, lines) = self.link.as_mut().unwrap();
+            if lines.read_line(&mut line).unwrap_or(0) == 0 {
+                return;
+            }
+            let words: Vec<&str> = line.trim_end().split(' ').collect();
+            if words[0] == "usage" {
+                let _ = stream.write_all(format!("used {} 0.5 1 0.1 2\r\n", words[1]).as_bytes());
+                continue;
+            }
+            let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+            lines.read_exact(&mut body).unwrap();
+            body.truncate(body.len() - 2);
+            let _ = sender.send(body.clone());
+            self.complete(words[1], "fine", &body);
+        });
+        bodies
+    }
+}
+
+/// A uwsgi packet of these variables, CONTENT_LENGTH and a body.
+pub fn packet(path: &str, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let length = body.len().to_string();
+    let mut vars = vec![("REQUEST_METHOD", "POST"), ("PATH_INFO", path), ("CONTENT_LENGTH", &length)];
+    vars.extend(more);
+    let word = |w: &str| [&(w.len() as u16).to_le_bytes()[..], w.as_bytes()].concat();
+    let block: Vec<u8> = vars.iter().flat_map(|(n, v)| [word(n), word(v)].concat()).collect();
+    let [low, high] = (block.len() as u16).to_le_bytes();
+    [&[0, low, high, 0][..], &block, body].concat()
+}
+
+/// A stand-in for a uwsgi worker.
+pub struct Worker(pub TcpListener);
+
+impl Worker {
+    pub fn new() -> Worker {
+        Worker(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    /// The next request: its connection, and the packet as it came.
+    pub fn accept(&self) -> (TcpStream, Vec<u8>) {
+        let mut stream = self.0.accept().unwrap().0;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut bytes = vec![0; 4];
+        stream.read_exact(&mut bytes).unwrap();
+        let size = usize::from(u16::from_le_bytes([bytes[1], bytes[2]]));
+        bytes.resize(4 + size, 0);
+        stream.read_exact(&mut bytes[4..]).unwrap();
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let value = text.split_once("CONTENT_LENGTH").expect("always sent").1;
+        let digits: String = value.chars().skip(2).take_while(char::is_ascii_digit).collect();
+        let start = bytes.len();
+        bytes.resize(start + digits.parse::<usize>().unwrap(), 0);
+        stream.read_exact(&mut bytes[start..]).unwrap();
+        (stream, bytes)
+    }
+
+    /// Serves every request with its own body, each reported, for as long as the process lives.
+    pub fn echo(self) -> Receiver<Vec<u8>> {
+        let (sender, bodies): (Sender<Vec<u8>>, _) = channel();
+        std::thread::spawn(move || loop {
+            let (mut stream, packet) = self.accept();
+            let size = usize::from(u16::from_le_bytes([packet[1], packet[2]]));
+            let body = &packet[4 + size..];
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            let _ = sender.send(body.to_vec());
+            let _ = stream.write_all(&[head.as_bytes(), body].concat());
+        });
+        bodies
+    }
+}
+
+/// The uwsgi file of the tests: reads go to the processor, swaps where it says.
+pub fn uwsgi_file(worker: Option<SocketAddr>, swaps: &str) -> String {
+    let workers = worker.map(|w| format!("\"{w}\"")).unwrap_or_default();
+    format!(
+        "listen = \"127.0.0.1:0\"\nworkers = [{workers}]\ndeadline_ms = 5000\n\
+         [[route]]\npath = \"/view\"\nclass = \"rota-view\"\nbackend = \"processor\"\n\
+         [[route]]\npath = \"/swap\"\nclass = \"swap-confirm\"\nbackend = \"{swaps}\"\n"
+    )
+}
+
+pub fn udp() -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(PATIENCE)).unwrap();
+    socket
+}
--- /dev/null
+++ b/node/tests/rules.rs
@@ -0,0 +1,262 @@
+//! The rules of the platform's protocol, one test each, on real sockets.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A node with a processor that is up, and a gateway.
+fn pair(parties: Value) -> (Node, Processor, Gateway) {
+    let mut processor = Processor::new();
+    let mut all = json!({"processor": processor.address().to_string()});
+    all.as_object_mut().unwrap().extend(parties.as_object().unwrap().clone());
+    let node = Node::start(all, None);
+    processor.up();
+    let gateway = node.ready();
+    (node, processor, gateway)
+}
+
+fn code(answer: &Value) -> i64 {
+    answer["error"]["code"].as_i64().unwrap_or_else(|| panic!("no error: {answer}"))
+}
+
+#[test]
+fn bodies_results_and_replies_pass_unchanged() {
+    let ledger = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (_node, mut processor, mut gateway) =
+        pair(json!({"ledger": ledger.local_addr().unwrap().to_string()}));
+    let every: Vec<u8> = (0..2048).map(|i| i as u8).collect();
+    let number = gateway.send("rota-view", work(5000, None, &every));
+    let (words, body) = processor.command();
+    assert_eq!((&*words[0], &*words[2], &body), ("begin", "rota-view", &every));
+    processor.notice("ask", &words[1], b"call\r\n\0");
+    let mut below = BufReader::new(ledger.accept().unwrap().0);
+    let mut line = String::new();
+    below.read_line(&mut line).unwrap();
+    let post: Vec<&str> = line.trim_end().split(' ').collect();
+    assert_eq!((post[0], post[1], post[3]), ("post", &*words[1], "7"));
+    assert!((1..=5000).contains(&post[2].parse::<u64>().unwrap()), "{line}");
+    let mut call = [0; 9];
+    below.read_exact(&mut call).unwrap();
+    assert_eq!(&call, b"call\r\n\0\r\n");
+    let posted = format!("{} posted 4\r\n", words[1]);
+    below.get_mut().write_all(&[posted.as_bytes(), b"\r\n\xff\0\r\n"].concat()).unwrap();
+    assert_eq!(
+        processor.command(),
+        (vec!["answer".into(), words[1].clone(), "4".into()], b"\r\n\xff\0".to_vec())
+    );
+    let result: Vec<u8> = (0..4096).map(|i| (i * 7) as u8).collect();
+    processor.complete(&words[1], "fine", &result);
+    let answer = gateway.receive();
+    assert_eq!((&answer["id"], &answer["result"]["doc"]), (&json!(number), &json!(base64(&result))));
+}
+
+#[test]
+fn a_request_is_answered_by_its_due_time_though_it_runs() {
+    let (_node, mut processor, mut gateway) = pair(json!({}));
+    let start = Instant::now();
+    gateway.send("rota-view", work(300, None, b""));
+    processor.begin();
+    // The module may turn a running read away; to its caller that is never a refusal.
+    assert_eq!(code(&gateway.receive()), -32002);
+    assert!(start.elapsed() < Duration::from_millis(450), "{:?}", start.elapsed());
+    // A try that came late is answered at once, unrun.
+    let mut late = work(300, None, b"");
+    late["since"] = json!(late["since"].as_u64().unwrap() - 1000);
+    gateway.send("rota-view", late);
+    assert_eq!(code(&gateway.receive()), -32000);
+}
+
+#[test]
+fn before_the_processor_is_up_requests_are_refused_with_advice() {
+    let processor = Processor::new();
+    let node = Node::start(json!({"processor": processor.address().to_string()}), None);
+    let mut gateway = node.gateway();
+    gateway.send("alive", json!({}));
+    assert_eq!(gateway.receive()["result"]["healthy"], false);
+    gateway.send("swap-confirm", work(5000, Some("k"), b""));
+    let answer = gateway.receive();
+    assert_eq!((code(&answer), &answer["error"]["data"]["cooldown"]), (-32000, &json!(200)));
+}
+
+#[test]
+fn a_key_runs_once_and_its_repeats_share_the_outcome() {
+    let (_node, mut processor, mut gateway) = pair(json!({}));
+    let mut other = _node.gateway();
+    let first = gateway.send("swap-confirm", work(5000, Some("key"), b"x"));
+    let (id, _) = processor.begin();
+    // One joins the run; its own cancelled twin does not.
+    let joined = other.send("swap-confirm", work(5000, Some("key"), b"x"));
+    let cancelled = other.send("swap-confirm", work(5000, Some("key"), b"x"));
+    other.notify("cancelRequest", json!({"id": cancelled}));
+    // A read that runs behind them shows that both were taken in, and that neither began a run.
+    other.send("rota-view", work(5000, None, b"read"));
+    let (read, body) = processor.begin();
+    assert_eq!(body, b"read");
+    processor.complete(&read, "fine", b"view");
+    assert_eq!(other.receive()["result"]["doc"], base64(b"view"));
+    processor.complete(&id, "fine", b"once");
+    for (party, number) in [(&mut gateway, first), (&mut other, joined)] {
+        let answer = party.receive();
+        assert_eq!((&answer["id"], &answer["result"]["doc"]), (&json!(number), &json!(base64(b"once"))));
+    }
+    // After the end the kept result serves; another key runs.
+    gateway.send("swap-confirm", work(5000, Some("key"), b"x"));
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"once"));
+    gateway.send("swap-confirm", work(5000, Some("another"), b"y"));
+    assert_eq!(processor.begin().1, b"y");
+}
+
+#[test]
+fn a_new_link_goes_on_where_the_old_one_broke() {
+    let (_node, mut processor, mut gateway) = pair(json!({}));
+    gateway.send("rota-view", work(10000, None, b"read"));
+    let (read, _) = processor.begin();
+    gateway.send("swap-confirm", work(10000, Some("key"), b"write"));
+    let (write, _) = processor.begin();
+    gateway.send("rota-view", work(10000, None, b"done"));
+    let (done, _) = processor.begin();
+    processor.complete(&done, "fine", b"1");
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"1"));
+    processor.cut();
+    processor.accept();
+    assert_eq!(processor.hello, "hello 1");
+    processor.say(b"hi running 2000\r\n");
+    // The notice repeated is not applied again; the read is begun again, since its start may be lost; the
+    // write is not, since its run may be over.
+    processor.say(format!("complete 1 {done} fine 12 1\r\n1\r\n").as_bytes());
+    assert_eq!(processor.begin(), (read.clone(), b"read".to_vec()));
+    processor.complete(&write, "fine", b"2");
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"2"));
+    processor.complete(&read, "fine", b"3");
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"3"));
+}
+
+#[test]
+fn a_rejected_command_fails_its_request_at_once() {
+    let (_node, mut processor, mut gateway) = pair(json!({}));
+    gateway.send("swap-confirm", work(10000, Some("key"), b""));
+    let (id, _) = processor.begin();
+    processor.say(format!("reject begin {id}\r\n").as_bytes());
+    assert_eq!(code(&gateway.receive()), -32001);
+}
+
+#[test]
+fn a_call_is_placed_again_only_where_it_cannot_have_run() {
+    let gone = nobody();
+    let (_node, mut processor, mut gateway) = pair(json!({"ledger": gone.to_string()}));
+    gateway.send("rota-view", work(10000, None, b""));
+    let (id, _) = processor.begin();
+    processor.notice("ask", &id, b"call");
+    // Refused connections prove that nothing ran: the call goes on as soon as somebody listens.
+    let ledger = TcpListener::bind(gone).expect("the port is still free");
+    let mut below = BufReader::new(ledger.accept().unwrap().0);
+    let mut line = String::new();
+    below.read_line(&mut line).unwrap();
+    assert!(line.starts_with(&format!("post {id} ")), "{line}");
+    // A connection that breaks with the call in hand proves nothing.
+    drop(below);
+    assert_eq!(code(&gateway.receive()), -32001);
+}
+
+#[test]
+fn reports_come_well_inside_three_seconds() {
+    let members = udp();
+    let (node, ..) = pair(json!({"members": members.local_addr().unwrap().to_string()}));
+    let mut word = [0; 64];
+    let mut next = || {
+        let n = members.recv(&mut word).unwrap();
+        String::from_utf8(word[..n].to_vec()).unwrap()
+    };
+    assert_eq!(next(), "HB n1 UP");
+    let start = Instant::now();
+    assert_eq!(next(), "HB n1 UP");
+    assert!(start.elapsed() < Duration::from_millis(1500), "{:?}", start.elapsed());
+    node.signal("-TERM");
+    while next() != "HB n1 OUT" {}
+}
+
+#[test]
+fn a_drain_answers_what_was_read_and_ends_in_time() {
+    let (mut node, mut processor, mut gateway) = pair(json!({}));
+    gateway.send("swap-confirm", work(10000, Some("key"), b""));
+    let (id, _) = processor.begin();
+    let mut idle = node.gateway();
+    idle.send("alive", json!({}));
+    idle.receive();
+    let start = Instant::now();
+    node.signal("-TERM");
+    for party in [&mut gateway, &mut idle] {
+        assert_eq!(party.receive()["method"], "goaway");
+    }
+    // The signal closes the listening socket once all that was accepted is in.
+    while TcpStream::connect(node.gateways).is_ok() {
+        assert!(start.elapsed() < PATIENCE);
+    }
+    processor.complete(&id, "fine", b"last");
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"last"));
+    let counters = node.line("counters: ");
+    assert_eq!(Node::counter(&counters, "served"), 1);
+    assert!(node.wait().success());
+    assert!(start.elapsed() < Duration::from_millis(4900), "{:?}", start.elapsed());
+}
+
+#[test]
+fn a_drain_fails_what_runs_too_long_before_the_kill() {
+    let (mut node, mut processor, mut gateway) = pair(json!({"stop_ms": 1000}));
+    gateway.send("rota-view", work(10000, None, b""));
+    processor.begin();
+    let start = Instant::now();
+    node.signal("-TERM");
+    assert_eq!(gateway.receive()["method"], "goaway");
+    assert!(code(&gateway.receive()) < -32000);
+    assert!(node.wait().success());
+    assert!(start.elapsed() < Duration::from_millis(1000), "{:?}", start.elapsed());
+}
+
+#[test]
+fn bad_input_gets_its_error_and_harms_nobody() {
+    let (node, mut processor, mut good) = pair(json!({}));
+    let change = |field: &str, value: Value| {
+        let mut params = work(5000, Some("bad"), b"");
+        params[field] = value;
+        json!({"jsonrpc": "2.0", "id": 9, "method": "swap-confirm", "params": params}).to_string()
+    };
+    let cases = [
+        ("{".to_owned(), -32700),
+        ("[]".to_owned(), -32600),
+        (r#"{"jsonrpc":"1.0","id":9,"method":"alive"}"#.to_owned(), -32600),
+        (r#"{"jsonrpc":"2.0","id":"9","method":"alive"}"#.to_owned(), -32600),
+        (r#"{"jsonrpc":"2.0","id":0,"method":"alive"}"#.to_owned(), -32600),
+        (r#"{"jsonrpc":"2.0","id":9,"method":"rota-view"}"#.to_owned(), -32602),
+        (change("method", json!(1)).replace("swap-confirm", "no-such"), -32601),
+        (change("ref", json!("9B1F03AA5C7E2D41")), -32602),
+        (change("ref", json!(7)), -32602),
+        (change("since", json!("now")), -32602),
+        (change("since", json!(-1)), -32602),
+        (change("allow", json!(1e300)), -32602),
+        (change("room", json!(0)), -32602),
+        (change("class_rank", json!(1)), -32602),
+        (change("dup", json!([])), -32602),
+        (change("replay", json!("")), -32602),
+        (change("replay", Value::Null), -32602),
+        (change("doc", json!("not base64")), -32602),
+        (change("doc", json!(base64(&[0; 2049]))), -32602),
+        ("x".repeat(9000), -32600),
+    ];
+    for (line, expected) in cases {
+        let mut gateway = node.gateway();
+        gateway.raw(format!("{line}\n").as_bytes());
+        let answer = gateway.receive();
+        assert_eq!(code(&answer), expected, "{line} -> {answer}");
+    }
+    // None of them ran, and a good request does.
+    good.send("rota-view", work(5000, None, b"good"));
+    let (id, body) = processor.begin();
+    assert_eq!(body, b"good");
+    processor.complete(&id, "fine", b"fine");
+    assert_eq!(good.receive()["result"]["doc"], base64(b"fine"));
+}
