--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -28,6 +28,8 @@
 const GAUGE_LEAD: Micros = 5_000;
 /// Gauges older than this are not passed on.
 const GAUGE_AGE: Micros = 500_000;
+/// The least round, whatever the settings say.
+const LEAST_ROUND: Micros = 1000;
 /// A call without a reply is given up this long after its deadline: the layer below answers by then.
 const CALL_GRACE: Micros = 50_000;
 
@@ -139,6 +141,8 @@
     body: Rc<[u8]>,
     /// When it was placed and is given up, if it is in the hands of the layer below.
     placed: Option<(Micros, Micros)>,
+    /// When it was placed and how it was turned away, until the module is told.
+    turned_away: Option<(Micros, Outcome)>,
 }
 
 #[derive(Debug)]
@@ -167,6 +171,7 @@
     Timer(u64),
     Due(RequestId),
     Call(RequestId),
+    TurnedAway(RequestId),
 }
 
 /// What the module is still to be told.
@@ -187,6 +192,7 @@
     next_id: RequestId,
     keys: Keys,
     most_result: usize,
+    round: Micros,
     bodies: usize,
     /// There is no processor to ask for gauges: runs are counted instead.
     counted: bool,
@@ -203,8 +209,9 @@
 }
 
 impl Core {
-    /// A node whose processor is not up yet, and whose results are no longer than `most_result`.
-    pub fn new(settings: Settings, seed: u64, most_result: usize) -> Core {
+    /// A node whose processor is not up yet. A round is the shortest gap between two calls of one request, and
+    /// no result is longer than `most_result`.
+    pub fn new(settings: Settings, seed: u64, round: Micros, most_result: usize) -> Core {
         let most_keys = MOST_KEYS.min(MOST_KEPT / most_result.max(1));
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Core {
@@ -218,6 +225,7 @@
             next_id: 0,
             keys: Keys::new(most_keys, longest),
             most_result,
+            round: round.max(LEAST_ROUND),
             bodies: 0,
             counted: false,
             wakes: BTreeSet::new(),
@@ -365,7 +373,7 @@
         let Some(&id) = self.by_reference.get(&reference) else { return };
         let attempt = self.attempts.get_mut(&id).expect("both tables agree");
         let Stage::Running { call, .. } = &mut attempt.stage else { return };
-        *call = Some(Call { body, placed: None });
+        *call = Some(Call { body, placed: None, turned_away: None });
         self.tell(now, Event::NeedsCall(id));
     }
 
@@ -381,6 +389,20 @@
             self.counters.calls_fine += 1;
             self.effects.push(Effect::Reply(reference, reply));
         }
+        // The module asks again at once, and a layer below that says no within a millisecond made that a loop
+        // of 30,000 calls a second. It is told a round later, as often as it would hear in a simulated day.
+        if let (Outcome::Busy | Outcome::Unreachable, Some(call)) = (outcome, call) {
+            call.turned_away = Some((placed, outcome));
+            self.wakes.insert((now + self.round, Wake::TurnedAway(id)));
+            return;
+        }
+        self.tell(now, Event::CallEnded { id, took: (now - placed).max(0), outcome });
+    }
+
+    fn turned_away(&mut self, now: Micros, id: RequestId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        let Stage::Running { call: Some(call), .. } = &mut attempt.stage else { return };
+        let Some((placed, outcome)) = call.turned_away.take() else { return };
         self.tell(now, Event::CallEnded { id, took: (now - placed).max(0), outcome });
     }
 
@@ -439,6 +461,7 @@
                     self.tell(now, Event::Timer { tag, core_use, on_cores, memory_use, connections });
                 }
                 Wake::Due(id) => self.due(now, id),
+                Wake::TurnedAway(id) => self.turned_away(now, id),
                 Wake::Call(id) => {
                     let Some(a) = self.attempts.get(&id) else { continue };
                     let Stage::Running { call: Some(call), .. } = &a.stage else { continue };
@@ -712,3 +735,6 @@
         Some(attempt)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/node/src/core/tests.rs
@@ -0,0 +1,187 @@
+//! The core alone: events in, effects out, no socket and no clock.
+
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+
+fn core() -> Core {
+    let class = |idempotency| Class {
+        aim: 2 * SECOND,
+        deadline: 7 * SECOND,
+        idempotency,
+        window: 20 * SECOND,
+        calls: true,
+        ..Class::default()
+    };
+    let settings = Settings {
+        classes: vec![class(Idempotency::Free), class(Idempotency::Keyed)],
+        cores: 2.0,
+        below: Below::Tier,
+        ..Settings::default()
+    };
+    let mut core = Core::new(settings, 7, 2000, 4096);
+    core.up(SECOND, 0, false);
+    core
+}
+
+/// A request that arrives now and is waited for five seconds.
+fn incoming(reference: Reference, now: Micros, key: Option<&str>) -> Incoming {
+    Incoming {
+        reference,
+        origin: Origin { connection: 1, number: reference },
+        class: usize::from(key.is_some()),
+        arrived: now,
+        due: Some(now + 5 * SECOND),
+        cost: None,
+        memory_kb: 10.0,
+        rank: 0.9,
+        retry: false,
+        key: key.map(Rc::from),
+        body: Rc::from(*b"body"),
+    }
+}
+
+fn begun(effects: &[Effect]) -> Vec<Reference> {
+    let begin = |e: &Effect| if let Effect::Begin(r, ..) = e { Some(*r) } else { None };
+    effects.iter().filter_map(begin).collect()
+}
+
+fn answers(effects: &[Effect]) -> Vec<(Reference, Answer)> {
+    let answer = |e: &Effect| if let Effect::Answer(o, a) = e { Some((o.number, a.clone())) } else { None };
+    effects.iter().filter_map(answer).collect()
+}
+
+/// Fills the cores, so that what comes next is held.
+fn busy(core: &mut Core) {
+    let mut reference = 1000;
+    loop {
+        core.arrived(SECOND, incoming(reference, SECOND, None));
+        if begun(&core.effects()).is_empty() {
+            return core.gone(SECOND, reference);
+        }
+        reference += 1;
+    }
+}
+
+/// Turned away within a millisecond and asked again at once, calls once came to 30,000 a second.
+#[test]
+fn the_module_hears_of_a_call_that_was_turned_away_a_round_later() {
+    for outcome in [Outcome::Busy, Outcome::Unreachable] {
+        let mut core = core();
+        core.arrived(SECOND, incoming(1, SECOND, None));
+        core.asked(SECOND, 1, Rc::from([]));
+        let call = |core: &mut Core| core.effects().iter().filter(|e| matches!(e, Effect::Call(..))).count();
+        assert_eq!(call(&mut core), 1);
+        core.call_ended(SECOND + 100, 1, outcome, Rc::from([]));
+        assert_eq!(call(&mut core), 0);
+        core.wake(SECOND + 2099);
+        assert_eq!(call(&mut core), 0);
+        assert!(core.next_wake().is_some_and(|at| at == SECOND + 2100));
+        core.wake(SECOND + 2100);
+        assert_eq!(call(&mut core), 1, "{outcome:?}");
+    }
+}
+
+/// Failing the repeat along with it would promise nothing, though neither ever ran.
+#[test]
+fn a_repeat_of_a_try_that_is_dropped_unrun_stands_on_its_own() {
+    let mut core = core();
+    busy(&mut core);
+    core.arrived(SECOND, incoming(1, SECOND, Some("k")));
+    core.arrived(SECOND, incoming(2, SECOND, Some("k")));
+    core.arrived(SECOND, incoming(3, SECOND, Some("k")));
+    core.gone(SECOND, 1);
+    assert_eq!(answers(&core.effects()), []);
+    let mut runs: Vec<Reference> = Vec::new();
+    for reference in 1000.. {
+        if !core.knows(reference) {
+            break;
+        }
+        core.run_ended(SECOND + 10, reference, End::Fine, 10, Rc::from([]));
+        runs.extend(begun(&core.effects()));
+    }
+    // One of the two runs, and both get its result.
+    assert_eq!(runs, [2]);
+    core.run_ended(SECOND + 20, 2, End::Fine, 10, Rc::from(*b"once"));
+    let once = Answer::Served(Rc::from(*b"once"));
+    assert_eq!(answers(&core.effects()), [(2, once.clone()), (3, once)]);
+}
+
+#[test]
+fn a_key_runs_once_within_its_window_whatever_became_of_the_run() {
+    let failed = Answer::Failed { expired: false };
+    let served = Answer::Served(Rc::from(*b"r"));
+    let refused = Answer::Refused { cooldown: FULL_COOLDOWN, nowhere: false };
+    let cases = [
+        (End::Fine, served, false),
+        (End::Fault, failed.clone(), false),
+        (End::BrokenOff, failed, false),
+        (End::NeverRan, refused, true),
+    ];
+    for (end, answer, runs_again) in cases {
+        let mut core = core();
+        core.arrived(SECOND, incoming(1, SECOND, Some("k")));
+        core.run_ended(SECOND + 10, 1, end, 10, Rc::from(*b"r"));
+        assert_eq!(answers(&core.effects()), [(1, answer.clone())]);
+        // To the end of the window, counted from the arrival of the try that ran; then anew.
+        core.wake(21 * SECOND);
+        core.arrived(21 * SECOND, incoming(2, 21 * SECOND, Some("k")));
+        let effects = core.effects();
+        assert_eq!(begun(&effects).len(), usize::from(runs_again), "{end:?}");
+        assert_eq!(answers(&effects).len(), usize::from(!runs_again), "{end:?}");
+        core.wake(42 * SECOND);
+        core.arrived(42 * SECOND, incoming(3, 42 * SECOND, Some("k")));
+        assert_eq!(begun(&core.effects()), [3], "{end:?}");
+    }
+}
+
+#[test]
+fn a_repeat_read_late_still_counts_by_when_it_came() {
+    let mut core = core();
+    core.arrived(SECOND, incoming(1, SECOND, Some("k")));
+    core.run_ended(SECOND + 10, 1, End::Fine, 10, Rc::from(*b"r"));
+    core.effects();
+    // It came within the window, and is read a second after.
+    core.wake(22 * SECOND);
+    let late = Incoming { arrived: 20 * SECOND, ..incoming(2, 22 * SECOND, Some("k")) };
+    core.arrived(22 * SECOND, late);
+    assert_eq!(answers(&core.effects()), [(2, Answer::Served(Rc::from(*b"r")))]);
+}
+
+#[test]
+fn a_full_table_refuses_new_keys_and_forgets_none() {
+    let mut core = core();
+    core.keys = keys::Keys::new(1, SECOND);
+    core.arrived(SECOND, incoming(1, SECOND, Some("k")));
+    core.run_ended(SECOND + 10, 1, End::Fine, 10, Rc::from(*b"r"));
+    core.effects();
+    core.arrived(2 * SECOND, incoming(2, 2 * SECOND, Some("other")));
+    core.arrived(2 * SECOND, incoming(3, 2 * SECOND, Some("k")));
+    core.arrived(2 * SECOND, incoming(4, 2 * SECOND, None));
+    let effects = core.effects();
+    let refused = Answer::Refused { cooldown: FULL_COOLDOWN, nowhere: false };
+    assert_eq!(answers(&effects), [(2, refused), (3, Answer::Served(Rc::from(*b"r")))]);
+    assert_eq!(begun(&effects), [4]);
+}
+
+#[test]
+fn each_request_is_answered_once_and_everything_is_given_back() {
+    let mut core = core();
+    core.arrived(SECOND, incoming(1, SECOND, None));
+    core.arrived(SECOND, incoming(2, SECOND, Some("k")));
+    core.effects();
+    core.wake(6 * SECOND);
+    let due = answers(&core.effects());
+    assert_eq!(due.len(), 2, "both are due: {due:?}");
+    assert!(due.iter().all(|(_, a)| *a == Answer::Failed { expired: true }), "{due:?}");
+    // The runs end later, and a caller that leaves later still changes nothing.
+    core.gone(6 * SECOND, 1);
+    core.run_ended(7 * SECOND, 1, End::Fine, 10, Rc::from([]));
+    core.run_ended(7 * SECOND, 2, End::Fine, 10, Rc::from([]));
+    core.run_ended(7 * SECOND, 2, End::Fine, 10, Rc::from([]));
+    assert_eq!(answers(&core.effects()), []);
+    assert_eq!((core.owed(), core.sizes().0, core.bodies, core.by_reference.len()), (0, 0, 0, 0));
+    // Only the module's own timer is left to wake for.
+    assert!(core.wakes.iter().all(|w| matches!(w.1, Wake::Timer(_) | Wake::Gauges)), "{:?}", core.wakes);
+    assert_eq!(core.counters.failed, 2);
+}
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -1,7 +1,7 @@
 //! The node's configuration, read once at the start.
 
 use crate::net::routes::Uwsgi;
-use pipitlever::Settings;
+use pipitlever::{Micros, Settings};
 use pipitlever_settings::Config as SettingsConfig;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -66,6 +66,8 @@
     pub classes: Vec<String>,
     /// The names of the gauges, by position.
     pub gauges: Vec<String>,
+    /// The shortest gap between two rounds of decisions.
+    pub round: Micros,
     /// The uwsgi front, the workers and the routes; off unless a file says otherwise.
     pub uwsgi: Uwsgi,
 }
@@ -94,6 +96,7 @@
             sockets: file.limits.sockets,
             classes: file.settings.class_names(),
             gauges: file.settings.gauge_names().to_vec(),
+            round: file.settings.round(),
             uwsgi: Uwsgi::default(),
             settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
         })
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -37,7 +37,8 @@
     });
     let listeners = listeners.collect::<Result<Vec<_>, String>>()?;
     let workers = config.uwsgi.workers.clone();
-    let hub = Hub::new(config.settings, config.classes, config.gauges, config.seed, config.uwsgi);
+    let hub =
+        Hub::new(config.settings, config.classes, config.gauges, config.seed, config.round, config.uwsgi);
     let hub: Shared = Rc::new(RefCell::new(hub));
     hub.borrow_mut().ledger.exists = config.ledger.is_some();
     executor.spawn(timers(hub.clone())).detach();
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -160,6 +160,7 @@
         names: Vec<String>,
         gauge_names: Vec<String>,
         seed: u64,
+        round: Micros,
         uwsgi: Uwsgi,
     ) -> Hub {
         let all = &settings.classes;
@@ -178,7 +179,7 @@
         let worked = classes.iter().any(|c| c.workers_path.is_some());
         let most_result = if worked { uwsgi.most_response } else { jsonrpc::MOST_RESULT };
         Hub {
-            core: Core::new(settings, seed, most_result),
+            core: Core::new(settings, seed, round, most_result),
             uwsgi,
             jobs: (VecDeque::new(), Nudge::new()),
             names: seed,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -94,6 +94,8 @@
     over_share_worth: f64,
     #[serde(default)]
     replicas_of_me: f64,
+    #[serde(default)]
+    round: Micros,
     safety: SafetyConfig,
     #[serde(default)]
     tenants: Vec<TenantConfig>,
@@ -121,6 +123,11 @@
         &self.family_info.gauges
     }
 
+    /// The shortest gap between two rounds of decisions.
+    pub fn round(&self) -> Micros {
+        self.round
+    }
+
     /// Whether requests tell how long their caller still waits.
     pub fn passes_deadline(&self) -> bool {
         self.family_info.passes_deadline
