--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use super::config::Config;
+use super::import::Import;
 use super::serve::serve;
 use crate::net::routes::Uwsgi;
 use lexopt::prelude::*;
@@ -13,6 +14,9 @@
                        front is off unless a file like deploy/uwsgi.toml is
   pipitlever check [--config FILE] [--uwsgi FILE]
                        read both files, say what they hold, and end
+  pipitlever import FILE...
+                       turn mod_jk's workers.properties and Apache's balancer sections into the uwsgi file's
+                       format, on standard output; what can't be carried over is named on standard error
   pipitlever version   print the version
   pipitlever help      print this
 
@@ -24,6 +28,7 @@
     let mut parser = lexopt::Parser::from_env();
     let mut verb = None;
     let mut uwsgi = None;
+    let mut files = Vec::new();
     let mut config = std::env::var("EDGE_CONFIG").ok();
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
@@ -38,6 +43,9 @@
             Long("help") | Short('h') => verb = Some("help".to_owned()),
             Long("version") | Short('V') => verb = Some("version".to_owned()),
             Value(word) if verb.is_none() => verb = Some(word.string().map_err(|e| e.to_string())?),
+            Value(file) if verb.as_deref() == Some("import") => {
+                files.push(file.string().map_err(|e| e.to_string())?);
+            }
             other => return Err(format!("{}; see 'pipitlever help'", other.unexpected())),
         }
     }
@@ -60,6 +68,17 @@
             println!("uwsgi={listen} workers={} routes={}", c.uwsgi.workers.len(), c.uwsgi.routes.len());
             Ok(())
         }
+        "import" if files.is_empty() => Err("import: no file named".into()),
+        "import" => {
+            let mut import = Import::default();
+            for path in files {
+                let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+                import.read(&path, &text);
+            }
+            print!("{}", import.file()?);
+            import.notes.iter().for_each(|note| eprintln!("{note}"));
+            Ok(())
+        }
         "version" => {
             println!("pipitlever {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod command;
 pub mod config;
+pub mod import;
 pub mod serve;
