--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -260,3 +260,51 @@
     processor.complete(&id, "fine", b"fine");
     assert_eq!(good.receive()["result"]["doc"], base64(b"fine"));
 }
+
+#[test]
+fn connections_are_bounded_and_a_place_is_given_again() {
+    // 64 descriptors are kept back, so 8 connections are taken.
+    let (node, _processor, first) = pair(json!({"limits": {"sockets": 72}}));
+    let mut more: Vec<Gateway> = (0..12).map(|_| node.gateway()).collect();
+    for gateway in &mut more {
+        gateway.send("alive", json!({}));
+    }
+    let mut waiting = more.split_off(7);
+    for gateway in &mut more {
+        assert_eq!(gateway.receive()["result"]["healthy"], true);
+    }
+    // The others are neither answered nor dropped: each gets its place as one is left.
+    drop(first);
+    assert_eq!(waiting[0].receive()["result"]["healthy"], true);
+    drop(more);
+    for gateway in &mut waiting[1..] {
+        assert_eq!(gateway.receive()["result"]["healthy"], true);
+    }
+    node.signal("-USR1");
+    let counters = node.line("counters: ");
+    assert_eq!(Node::counter(&counters, "accepted"), 13);
+}
+
+#[test]
+fn a_connection_has_32_requests_open_and_its_end_lets_go_of_them() {
+    let (mut node, mut processor, mut gateway) = pair(json!({}));
+    // Repeats of one key: one runs, the others wait for it, and none can be served early.
+    let numbers: Vec<u64> =
+        (0..33).map(|_| gateway.send("swap-confirm", work(9000, Some("k"), b""))).collect();
+    let answer = gateway.receive();
+    assert_eq!((&answer["id"], code(&answer)), (&json!(numbers[32]), -32600));
+    let (id, _) = processor.begin();
+    drop(gateway);
+    // Another connection is read after the end of the first one is seen, or the key is still held: either way
+    // the run that began is the only one, and its result serves the next try.
+    let mut other = node.gateway();
+    other.send("swap-confirm", work(9000, Some("k"), b""));
+    processor.complete(&id, "fine", b"once");
+    assert_eq!(other.receive()["result"]["doc"], base64(b"once"));
+    node.signal("-TERM");
+    let counters = node.line("counters: ");
+    assert!(node.wait().success());
+    let count = |name: &str| Node::counter(&counters, name);
+    assert_eq!((count("requests"), count("runs"), count("malformed")), (33, 1, 1), "{counters}");
+    assert_eq!(count("gone") + count("served"), 33, "{counters}");
+}
