--- a/node/src/net/processor.rs
+++ b/node/src/net/processor.rs
@@ -38,6 +38,7 @@
                 Ok(None) => break,
                 Err(_) => {
                     hub.borrow_mut().core.counters.malformed += 1;
+                    log("processor: message not understood");
                     return;
                 }
             }
