Refuse to start when nobody does the work of a class

Saw on reading: without a processor, a class with no route to workers would have been taken, begun towards a link that never comes, and failed at its due time. At fault: the start checked the routes alone (net/routes.rs). Now life/config.rs checks both together.

--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -57,6 +57,7 @@
             let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
             config.uwsgi = Uwsgi::read(&text, &config.classes).map_err(|e| format!("{path}: {e}"))?;
         }
+        config.complete()?;
         Ok::<Config, String>(config)
     };
     match verb.as_deref().unwrap_or("serve") {
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -1,6 +1,6 @@
 //! The node's configuration, read once at the start.
 
-use crate::net::routes::Uwsgi;
+use crate::net::routes::{Backend, Uwsgi};
 use pipitlever::{Micros, Settings};
 use pipitlever_settings::Config as SettingsConfig;
 use serde::Deserialize;
@@ -73,6 +73,17 @@
 }
 
 impl Config {
+    /// Whether somebody does the work of every class: without a processor only workers can.
+    pub fn complete(&self) -> Result<(), String> {
+        let worked = |class: &&String| {
+            self.uwsgi.routes.iter().any(|r| r.class == **class && r.backend == Backend::Workers)
+        };
+        match self.classes.iter().find(|c| self.processor.is_none() && !worked(c)) {
+            Some(class) => Err(format!("no processor, and no route of class {class} to workers")),
+            None => Ok(()),
+        }
+    }
+
     /// Reads the configuration's text. The name and the address may come from the environment instead.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
--- a/node/tests/uwsgi.rs
+++ b/node/tests/uwsgi.rs
@@ -130,6 +130,21 @@
     assert_eq!(bodies.recv_timeout(PATIENCE).unwrap(), b"now");
 }
 
+#[test]
+fn a_node_of_workers_alone_needs_no_processor() {
+    let worker = Worker::new();
+    let file = uwsgi_file(Some(worker.address()), "workers").replace("\"processor\"", "\"workers\"");
+    let node = Node::start(json!({}), Some(&file));
+    let _bodies = worker.echo();
+    let mut gateway = node.ready();
+    for path in ["/view", "/swap"] {
+        let (status, text) = node.uwsgi(&packet(path, &[(KEY, "k")], b"echo"));
+        assert!(status == 200 && text.ends_with("\r\n\r\necho"), "{text}");
+    }
+    gateway.send("rota-view", work(5000, None, b"doc"));
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"doc"));
+}
+
 #[test]
 fn a_retry_of_a_running_write_joins_it() {
     let (node, _processor, worker) = both();
