Open a door for operators: status, figures by class, standby and active

Change: wire/control.rs reads one call a connection (httparse), net/control.rs keeps 24 callers at most, with descriptors of their own, and sends the first of them away for a newcomer; outcomes are counted by class in the one place that decides an answer.

--- a/node/src/core/counters.rs
+++ b/node/src/core/counters.rs
@@ -37,6 +37,28 @@
     pub links: u64,
 }
 
+/// What became of the requests of one class, counted where it is decided.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ByClass {
+    /// Served.
+    pub fulfilled: u64,
+    /// Refused.
+    pub throttled: u64,
+    /// Failed.
+    pub faulted: u64,
+    /// Runs handed on.
+    pub relayed: u64,
+}
+
+/// Configuration files that came with SIGHUP.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Files {
+    /// Taken.
+    pub accepted: u64,
+    /// Turned down.
+    pub invalid: u64,
+}
+
 impl std::fmt::Display for Counters {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         let c = self;
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -7,7 +7,7 @@
 pub mod durable;
 pub mod keys;
 
-use counters::Counters;
+use counters::{ByClass, Counters};
 use durable::Durable;
 use keys::{Kept, Keys};
 use pipitlever::*;
@@ -263,6 +263,8 @@
     owed: usize,
     level: Option<f64>,
     healthy: bool,
+    /// Operators want no new clients: health checks hear bad.
+    standby: bool,
     idle: Micros,
     gauges: (Micros, Gauges),
     /// Where all that the module is told and says is kept, if it is.
@@ -271,6 +273,8 @@
     durable: Option<Box<Durable>>,
     /// Counts since the start.
     pub counters: Counters,
+    /// The same by class.
+    by_class: Vec<ByClass>,
 }
 
 impl Core {
@@ -280,6 +284,7 @@
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Core {
             idle: settings.keepalive_max,
+            by_class: vec![ByClass::default(); settings.classes.len()],
             settings,
             seed,
             module: None,
@@ -300,6 +305,7 @@
             owed: 0,
             level: None,
             healthy: false,
+            standby: false,
             gauges: (Micros::MIN / 2, Gauges::default()),
             tap: None,
             durable: None,
@@ -342,7 +348,22 @@
 
     /// What health checks hear.
     pub fn healthy(&self) -> bool {
-        self.healthy
+        self.healthy && !self.standby
+    }
+
+    /// Health checks hear bad from now on, or again what the module says; whether that is new. All else goes on.
+    pub fn stand_by(&mut self, standby: bool) -> bool {
+        std::mem::replace(&mut self.standby, standby) != standby
+    }
+
+    /// Whether operators want no new clients.
+    pub fn standing_by(&self) -> bool {
+        self.standby
+    }
+
+    /// What became of the requests of a class.
+    pub fn by_class(&self, class: usize) -> ByClass {
+        self.by_class[class]
     }
 
     /// How long a connection may be idle.
@@ -408,7 +429,6 @@
         let store = if new_key { self.store_refuses(now) } else { None };
         if self.module.is_none() || full || no_place || store.is_some() {
             // Nothing may be forgotten to make room, so new work has to wait. Never offered, never run.
-            self.counters.refused += 1;
             let (by, cooldown) = match (&self.module, store) {
                 (None, _) => (By::NotUp, FULL_COOLDOWN),
                 (Some(_), _) if full => (By::Full, FULL_COOLDOWN),
@@ -418,6 +438,7 @@
             let answer = Answer::Refused { cooldown, nowhere: false };
             self.now = self.now.max(now);
             note(&mut self.tap, self.now, &incoming, &answer, by);
+            self.answered_as(incoming.class, &answer);
             self.effects.push(Effect::Answer(incoming.origin, answer));
             return;
         }
@@ -772,8 +793,9 @@
     /// The run goes out.
     fn begin(&mut self, id: RequestId) {
         let Some(attempt) = self.attempts.get(&id) else { return };
-        self.counters.runs += 1;
         let incoming = &attempt.incoming;
+        self.counters.runs += 1;
+        self.by_class[incoming.class].relayed += 1;
         let keyed = incoming.key.is_some();
         // A repeat may still want the outcome of a keyed run when its first caller does not.
         let class = &self.settings.classes[incoming.class];
@@ -881,14 +903,23 @@
         let Some(origin) = attempt.origin.take() else { return };
         note(&mut self.tap, self.now, &attempt.incoming, &answer, by);
         self.owed -= 1;
-        match answer {
-            Answer::Served(_) => self.counters.served += 1,
-            Answer::Refused { .. } => self.counters.refused += 1,
-            Answer::Failed { .. } | Answer::Unknown { .. } => self.counters.failed += 1,
-        }
+        let class = attempt.incoming.class;
+        self.answered_as(class, &answer);
         self.effects.push(Effect::Answer(origin, answer));
     }
 
+    /// Counts an outcome: the one place where that is done.
+    fn answered_as(&mut self, class: usize, answer: &Answer) {
+        let class = &mut self.by_class[class];
+        let (all, of_class) = match answer {
+            Answer::Served(_) => (&mut self.counters.served, &mut class.fulfilled),
+            Answer::Refused { .. } => (&mut self.counters.refused, &mut class.throttled),
+            Answer::Failed { .. } | Answer::Unknown { .. } => (&mut self.counters.failed, &mut class.faulted),
+        };
+        *all += 1;
+        *of_class += 1;
+    }
+
     /// Takes a request out of every table: the one place where it is given back.
     fn close(&mut self, id: RequestId) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -21,6 +21,8 @@
     #[serde(default)]
     ledger: Option<SocketAddr>,
     #[serde(default)]
+    control: Option<SocketAddr>,
+    #[serde(default)]
     seed: Option<String>,
     stop_ms: u64,
     #[serde(default)]
@@ -56,6 +58,8 @@
     pub name: String,
     /// Where gateways connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub control: Option<SocketAddr>,
     /// Where the other parties are.
     pub parties: Parties,
     /// For random numbers.
@@ -112,11 +116,14 @@
     /// Reads the configuration's text. The name and the address may come from the environment instead.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
-        let listen = match (file.listen, env("EDGE_LISTEN")) {
-            (Some(listen), _) => listen,
-            (None, Some(text)) => text.parse().map_err(|_| format!("EDGE_LISTEN: no address: {text}"))?,
-            (None, None) => return Err("no 'listen' in the configuration and no EDGE_LISTEN".into()),
+        let address = |given: Option<SocketAddr>, name: &str| match (given, env(name)) {
+            (Some(address), _) => Ok(Some(address)),
+            (None, Some(text)) => text.parse().map(Some).map_err(|_| format!("{name}: no address: {text}")),
+            (None, None) => Ok(None),
         };
+        let listen = address(file.listen, "EDGE_LISTEN")?;
+        let listen = listen.ok_or("no 'listen' in the configuration and no EDGE_LISTEN")?;
+        let control = address(file.control, "EDGE_CONTROL")?;
         let seed = match &file.seed {
             Some(hex) => u64::from_str_radix(hex, 16).map_err(|_| format!("seed: not hex: {hex}"))?,
             None => u64::from(std::process::id()),
@@ -124,6 +131,7 @@
         Ok(Config {
             name: file.name.or_else(|| env("EDGE_NAME")).unwrap_or_else(|| "node".into()),
             listen,
+            control,
             parties: Parties {
                 processor: file.processor,
                 ledger: file.ledger,
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -9,7 +9,7 @@
 use crate::net::hub::{Hub, Shared};
 use crate::net::nudge::Nudge;
 use crate::net::places::Front;
-use crate::net::{ahead, by, front, ledger, membership, processor, timers, workers};
+use crate::net::{ahead, by, control, front, ledger, membership, processor, timers, workers};
 use async_executor::LocalExecutor;
 use pipitlever_reactor::{block_on, Async, Timer};
 use std::cell::RefCell;
@@ -17,7 +17,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Descriptors kept back from the fronts: the links, the signals, the poller, standard streams.
+/// Descriptors kept back from the fronts: the links, the signals, the poller, standard streams. The operators' door has
+/// its own beside these.
 const KEPT_BACK: usize = 64;
 /// The process ends this long before it would be killed, in milliseconds.
 const SPARE_MS: u64 = 150;
@@ -46,7 +47,15 @@
         Ok((front, at, bound))
     });
     let listeners = listeners.collect::<Result<Vec<_>, String>>()?;
-    let most = config.sockets.saturating_sub(KEPT_BACK).max(8);
+    let door = config.control.map(|at| {
+        let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
+        Ok::<_, String>((at, bound))
+    });
+    let door = door.transpose()?;
+    // Each caller's, and the listener's; those whose answer is on its way take no place among callers any more.
+    let for_door = if door.is_some() { 2 * control::MOST_CALLERS } else { 0 };
+    let most = config.sockets.saturating_sub(KEPT_BACK + for_door).max(8);
     let memory = config.memory_mb << 20;
     let captured = if config.capture.is_some() { capture::memory(memory) } else { 0 };
     let bounds = Bounds::within(memory - captured, most);
@@ -87,6 +96,11 @@
         log(&format!("serving: name={} protocol={protocol} listen={at}", config.name));
     }
 
+    if let Some((at, listener)) = door {
+        executor.spawn(control::listen(executor.clone(), hub.clone(), listener)).detach();
+        log(&format!("serving: name={} protocol=control address={at}", config.name));
+    }
+
     loop {
         match signals.next().await {
             Signal::Count => print_counters(&hub),
@@ -120,13 +134,17 @@
     match usable {
         Ok(new) => {
             hub.borrow_mut().moved(new.parties);
+            hub.borrow_mut().files.accepted += 1;
             capturing.set(hub, new.capture);
             if new.store != *store {
                 log("reload: [store] has changed: it stays as it was until the next start");
             }
             log("reload: done");
         }
-        Err(trouble) => log(&format!("reload: not done, the old configuration stays: {trouble}")),
+        Err(trouble) => {
+            hub.borrow_mut().files.invalid += 1;
+            log(&format!("reload: not done, the old configuration stays: {trouble}"));
+        }
     }
 }
 
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -2,11 +2,13 @@
 
 use super::calls::{Calls, ToPost};
 use super::clock::Clock;
+use super::control::Callers;
 use super::link::{Link, Told};
 use super::nudge::Nudge;
 use super::places::{Front, Place, Places};
 use super::pools::{Pools, Put};
 use super::routes::{Backend, Named, Uwsgi};
+use crate::core::counters::{ByClass, Files};
 use crate::core::durable::Durable;
 use crate::core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference};
 use crate::log::log;
@@ -93,6 +95,10 @@
     pub woken: Nudge,
     /// The fronts' connections.
     pub places: Places,
+    /// The operators' door.
+    pub callers: Callers,
+    /// Configuration files that came with SIGHUP.
+    pub files: Files,
     /// The notice to leave has come.
     pub leaving: Nudge,
     /// The uwsgi front's settings.
@@ -157,6 +163,8 @@
             members: None,
             woken: Nudge::new(),
             places: Places::new(bounds.answers),
+            callers: Callers::default(),
+            files: Files::default(),
             leaving: Nudge::new(),
             classes,
             gauge_names,
@@ -170,6 +178,11 @@
         self.classes.iter().map(|c| c.name.to_string()).collect()
     }
 
+    /// What became of the requests of each class, by its name.
+    pub fn class_counts(&self) -> impl Iterator<Item = (&str, ByClass)> {
+        self.classes.iter().enumerate().map(|(at, c)| (&*c.name, self.core.by_class(at)))
+    }
+
     /// Tells the core something and carries out what comes of it.
     pub fn tell(&mut self, tell: impl FnOnce(&mut Core, Micros)) {
         tell(&mut self.core, self.clock.now());
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 pub mod clock;
+pub mod control;
 pub mod front;
 pub mod hub;
 pub mod ledger;
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! What is spoken: one state machine a protocol, fed bytes and yielding messages. No socket, no clock.
 
+pub mod control;
 pub mod jsonrpc;
 pub mod ledger;
 pub mod membership;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// The operators' door, once the node has said where it is.
+    pub fn door(&self) -> Door {
+        let line = self.line("serving: name=n1 protocol=control");
+        Door(line.rsplit_once("address=").unwrap().1.parse().unwrap())
+    }
+
     /// A counter from the line that the node ends with.
     pub fn counter(line: &str, name: &str) -> u64 {
         let word = line.split(' ').find_map(|w| w.strip_prefix(&format!("{name}=")));
@@ -217,6 +223,27 @@
     }
 }
 
+/// The operators' door of a node.
+pub struct Door(pub SocketAddr);
+
+impl Door {
+    /// One call, and what it was answered.
+    pub fn call(&self, line: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.0).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(format!("{line} HTTP/1.1\r\nHost: n1\r\n\r\n").as_bytes()).unwrap();
+        response(stream)
+    }
+
+    /// A figure by its name, if it is there.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let (status, text) = self.call("GET /status/metrics");
+        assert_eq!(status, 200);
+        let line = text.lines().find_map(|l| l.strip_prefix(&format!("edge.{name}:")))?;
+        line.split_once('|')?.0.parse().ok()
+    }
+}
+
 pub fn response(mut stream: TcpStream) -> (u16, String) {
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).expect("a response and the end");
