--- a/src/rules.rs
+++ b/src/rules.rs
@@ -564,7 +564,8 @@
         self.run.limit / self.run.slot.max(1.0) * 1e6 * self.run.success
     }
 
-    /// The length of a line: all that wait to start, or those that wait to start or to call and need calls.
+    /// The length of a line: all that wait to start, or those that wait to call and, beyond a bunch, to start and need
+    /// calls.
     /// What stands unread counts with the first, by Little's law on the wait that arrivals report, since
     /// reading takes the cores that runs need. It never brings on discard: to read only in order to refuse
     /// would serve nobody.
@@ -576,7 +577,9 @@
             return (held + unread).min(self.gates[0].modes.discard - 1.0).max(held);
         }
         let to_call = self.held.iter().filter(|id| self.s.classes[self.entries[id].class].calls);
-        (to_call.count() + self.parked().count()) as f64
+        // Up to the first line's abatement they are an ordinary bunch: that many the cores start while calls end.
+        let beyond = (to_call.count() as f64 - self.gates[0].modes.abate).max(0.0);
+        beyond + self.parked().count() as f64
     }
 
     /// Requests that wait for their call to be placed, with their aims.
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -108,3 +108,33 @@
     }
     assert!(calling > 20 && plain == 0, "calling {calling} plain {plain}");
 }
+
+/// On a calm day of the fleet test half of the refusals came while four requests waited to start and cores ended one each
+/// eighth of a second: the line for calls, whose shortest discard is four, counted them as if they stood at a call.
+#[test]
+fn a_bunch_that_waits_to_start_is_no_line_for_calls() {
+    let mut s = Settings { below: Below::Tier, memory_kb: 1e6, ..settings() };
+    s.classes[2].late_worth = 0.5;
+    let mut c = Controller::new(s, 1);
+    // Calls and runs that end fast, so that a tenth of the aim works off a good many.
+    let mut now = 0;
+    for id in 1..=300 {
+        now += 10_000;
+        step(&mut c, now, &[Event::Arrived(request(id, 2))]);
+        assert_eq!(calls(&step(&mut c, now + 1000, &[Event::NeedsCall(id)])), 1);
+        step(&mut c, now + 2000, &[Event::CallEnded { id, took: 1000, outcome: Outcome::Done }]);
+        step(&mut c, now + 3000, &[done(id, 3000), ticks(0)]);
+    }
+    let abate = c.thresholds().0;
+    assert!(abate > 8.0, "{abate}");
+    let mut id = 300;
+    let mut refusals = || {
+        id += 1;
+        refused(&step(&mut c, now + 5000, &[Event::Arrived(request(id, 2))]), id)
+    };
+    let running = 4;
+    let bunch = running + abate as u64;
+    assert_eq!((0..bunch).filter(|_| refusals()).count(), 0, "a bunch of {bunch}");
+    // Beyond it the shortest line holds: four, and no more.
+    assert_eq!((0..20).filter(|_| refusals()).count(), 16);
+}
