Take settings and classes over at SIGHUP, as a whole or not at all

Ruled out: the door (6 calls, none late). At fault: life/serve.rs, reload; Hub::new, which built the classes once.

Change: life/reload.rs checks the whole file against its own rules and the keys of the one in force; core/classes.rs seats classes so that open requests keep theirs; Controller::retune. Keys' bodies are told apart by the class's name, and entries of keys hold their own end.

--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -27,6 +27,8 @@
     pub payload: u64,
     /// Tries that reach the machine up to this time are repeats.
     pub until: Micros,
+    /// No repeat can name it later than then.
+    expires: Micros,
     /// Whether a run of it may have begun: from then on the entry stays for its whole window.
     pub begun: bool,
     /// The outcome, once the run has ended.
@@ -109,20 +111,23 @@
         match self.entries.get_mut(key) {
             Some(e) if e.holder != id && now <= e.until => return false,
             Some(e) if e.holder == id => {
-                self.expiry.remove(&(e.until + self.reading, key.clone()));
+                self.expiry.remove(&(e.expires, key.clone()));
                 e.until = e.until.max(until);
+                e.expires = e.until + self.reading;
             }
             Some(_) => {
                 self.remove(key);
             }
             None => {}
         }
-        let fresh = Entry { holder: id, payload, until, begun: false, kept: None, waiting: Vec::new() };
+        let expires = until + self.reading;
+        let fresh =
+            Entry { holder: id, payload, until, expires, begun: false, kept: None, waiting: Vec::new() };
         if !self.entries.contains_key(key) {
             self.taken += self.bytes(&fresh);
         }
-        let until = self.entries.entry(key.clone()).or_insert(fresh).until;
-        self.expiry.insert((until + self.reading, key.clone()));
+        let expires = self.entries.entry(key.clone()).or_insert(fresh).expires;
+        self.expiry.insert((expires, key.clone()));
         self.holders.insert(id, key.clone());
         true
     }
@@ -130,11 +135,13 @@
     /// Enters a key that a process before this one ran, with its outcome. Within its window it is never refused a
     /// place.
     pub fn recover(&mut self, key: &Rc<str>, id: RequestId, payload: u64, until: Micros, kept: Kept) {
-        let entry = Entry { holder: id, payload, until, begun: true, kept: Some(kept), waiting: Vec::new() };
+        let expires = until + self.reading;
+        let entry =
+            Entry { holder: id, payload, until, expires, begun: true, kept: Some(kept), waiting: Vec::new() };
         self.remove(key);
         self.taken += self.bytes(&entry);
         self.entries.insert(key.clone(), entry);
-        self.expiry.insert((until + self.reading, key.clone()));
+        self.expiry.insert((expires, key.clone()));
         self.holders.insert(id, key.clone());
     }
 
@@ -149,6 +156,11 @@
         self.taken = self.taken + self.bytes(&self.entries[key]) - (ENTRY + old);
     }
 
+    /// Repeats may be read as late as this, too, from now on. Entries that are there keep their time.
+    pub fn read_within(&mut self, reading: Micros) {
+        self.reading = self.reading.max(reading);
+    }
+
     /// A repeat may be read this long after it reached the machine.
     pub fn reading(&self) -> Micros {
         self.reading
@@ -157,7 +169,7 @@
     /// Takes out an entry: the one place where it is given back.
     pub fn remove(&mut self, key: &str) -> Option<Entry> {
         let (key, entry) = self.entries.remove_entry(key)?;
-        self.expiry.remove(&(entry.until + self.reading, key));
+        self.expiry.remove(&(entry.expires, key));
         self.holders.remove(&entry.holder);
         self.taken -= self.bytes(&entry);
         Some(entry)
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -3,11 +3,13 @@
 //! The core knows no wire, no socket and no clock: it is told what happened and when, and leaves a list of
 //! effects to carry out. It decides no admission, no order and no run limit; that is the module's.
 
+pub mod classes;
 pub mod counters;
 pub mod durable;
 pub mod keys;
 
-use counters::{ByClass, Counters};
+use classes::{Classes, Seat};
+use counters::Counters;
 use durable::Durable;
 use keys::{Kept, Keys};
 use pipitlever::*;
@@ -273,18 +275,27 @@
     durable: Option<Box<Durable>>,
     /// Counts since the start.
     pub counters: Counters,
-    /// The same by class.
-    by_class: Vec<ByClass>,
+    /// The classes by place, and the same by their names.
+    pub classes: Classes,
 }
 
 impl Core {
-    /// A node whose processor is not up yet. A round is the shortest gap between two calls of one request, and
+    /// A node whose processor is not up yet, with the classes of these names. A round is the shortest gap between two calls of one request, and
     /// no result is longer than `most_result`.
-    pub fn new(settings: Settings, seed: u64, round: Micros, most_result: usize, bounds: Bounds) -> Core {
+    pub fn new(
+        settings: Settings,
+        names: &[Rc<str>],
+        seed: u64,
+        round: Micros,
+        most_result: usize,
+        bounds: Bounds,
+    ) -> Core {
+        let mut classes = Classes::default();
+        let seats: Vec<Seat> = (0..names.len()).map(|at| Seat { at, was: None }).collect();
+        classes.take(names, &seats);
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Core {
             idle: settings.keepalive_max,
-            by_class: vec![ByClass::default(); settings.classes.len()],
             settings,
             seed,
             module: None,
@@ -310,6 +321,7 @@
             tap: None,
             durable: None,
             counters: Counters::default(),
+            classes,
         }
     }
 
@@ -331,6 +343,48 @@
         self.step(now, &[]);
     }
 
+    /// How the class at a place is defined.
+    pub fn class(&self, at: usize) -> &Class {
+        &self.settings.classes[at]
+    }
+
+    /// Whether requests of the class at a place are open, held or running.
+    pub fn class_in_use(&self, class: usize) -> bool {
+        self.attempts.values().any(|a| a.incoming.class == class)
+    }
+
+    /// Other settings from now on, with the classes of these names, in their order, where they were seated. What is
+    /// open ends under the class that it came with. Whether anything has changed for the module.
+    pub fn retune(
+        &mut self,
+        mut settings: Settings,
+        round: Micros,
+        names: &[Rc<str>],
+        seats: &[Seat],
+    ) -> bool {
+        let before = (self.settings.clone(), self.classes.in_force());
+        self.classes.take(names, seats);
+        let new = std::mem::take(&mut settings.classes);
+        let mut classes = std::mem::take(&mut self.settings.classes);
+        for (class, seat) in new.into_iter().zip(seats) {
+            match classes.get_mut(seat.at) {
+                Some(place) => *place = class,
+                None => classes.push(class),
+            }
+        }
+        self.keys.read_within(classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+        self.settings = Settings { classes, cold: self.settings.cold, ..settings };
+        self.round = round.max(LEAST_ROUND);
+        if (&self.settings, self.classes.in_force()) == (&before.0, before.1) {
+            return false;
+        }
+        let in_force: Vec<_> = seats.iter().map(|s| (s.at, s.was)).collect();
+        if let Some(module) = &mut self.module {
+            module.retune(self.settings.clone(), &in_force);
+        }
+        true
+    }
+
     /// Whether the module has not been told anything yet.
     pub fn fresh(&self) -> bool {
         self.module.is_none()
@@ -361,11 +415,6 @@
         self.standby
     }
 
-    /// What became of the requests of a class.
-    pub fn by_class(&self, class: usize) -> ByClass {
-        self.by_class[class]
-    }
-
     /// How long a connection may be idle.
     pub fn idle(&self) -> Micros {
         self.idle
@@ -795,7 +844,7 @@
         let Some(attempt) = self.attempts.get(&id) else { return };
         let incoming = &attempt.incoming;
         self.counters.runs += 1;
-        self.by_class[incoming.class].relayed += 1;
+        self.classes.count(incoming.class).relayed += 1;
         let keyed = incoming.key.is_some();
         // A repeat may still want the outcome of a keyed run when its first caller does not.
         let class = &self.settings.classes[incoming.class];
@@ -910,7 +959,7 @@
 
     /// Counts an outcome: the one place where that is done.
     fn answered_as(&mut self, class: usize, answer: &Answer) {
-        let class = &mut self.by_class[class];
+        let class = self.classes.count(class);
         let (all, of_class) = match answer {
             Answer::Served(_) => (&mut self.counters.served, &mut class.fulfilled),
             Answer::Refused { .. } => (&mut self.counters.refused, &mut class.throttled),
--- a/node/src/core/tests.rs
+++ b/node/src/core/tests.rs
@@ -19,7 +19,8 @@
         below: Below::Tier,
         ..Settings::default()
     };
-    let mut core = Core::new(settings, 7, 2000, 4096, Bounds::within(192 << 20, 960));
+    let mut core =
+        Core::new(settings, &["free".into(), "keyed".into()], 7, 2000, 4096, Bounds::within(192 << 20, 960));
     core.up(SECOND, 0, false);
     core
 }
--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -27,8 +27,8 @@
   pipitlever version   print the version
   pipitlever help      print this
 
-SIGTERM drains and ends; SIGHUP reads both files again and takes over the addresses of the other parties
-and the capture; SIGUSR1 prints the counters.
+SIGTERM drains and ends; SIGHUP reads both files again and takes over settings, classes, the addresses of
+the other parties and the capture, all or nothing; SIGUSR1 prints the counters.
 ";
 
 /// The code to end with when an import could not carry all over.
@@ -70,13 +70,13 @@
         "serve" => serve(read()?, read).map(|()| 0),
         "check" => {
             let c = read()?;
-            println!("name={} listen={} classes={}", c.name, c.listen, c.classes.join(","));
+            println!("name={} listen={} classes={}", c.name, c.listen, c.tuning.classes.join(","));
             println!("sockets={} memory_mb={}", c.sockets, c.memory_mb);
-            let listen = c.uwsgi.listen.map_or("off".into(), |at| at.to_string());
+            let listen = c.tuning.uwsgi.listen.map_or("off".into(), |at| at.to_string());
             println!(
                 "uwsgi={listen} workers={} routes={}",
-                c.uwsgi.pools().iter().map(|p| p.members.len()).sum::<usize>(),
-                c.uwsgi.routes.len()
+                c.tuning.uwsgi.pools().iter().map(|p| p.members.len()).sum::<usize>(),
+                c.tuning.uwsgi.routes.len()
             );
             let capture = c.capture.map_or("off".into(), |c| {
                 let mb = |bytes: u64| bytes as f64 / 1048576.0;
@@ -107,7 +107,7 @@
             Ok(if import.notes.is_empty() { 0 } else { PARTLY })
         }
         "pools" => {
-            explain::pools(&read()?.uwsgi).iter().for_each(|line| println!("{line}"));
+            explain::pools(&read()?.tuning.uwsgi).iter().for_each(|line| println!("{line}"));
             Ok(0)
         }
         "store" => match &files[..] {
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -1,13 +1,16 @@
 //! The node's configuration, read at the start, and for its parties' addresses on SIGHUP.
 
 use super::operator::{Capture, Operator, Store};
-use crate::net::hub::Parties;
+use crate::net::hub::{Parties, Tuning};
 use crate::net::routes::{Backend, Uwsgi};
-use pipitlever::{Micros, Settings};
 use pipitlever_settings::Config as SettingsConfig;
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 
+/// The longest time to leave in, in milliseconds: a day.
+const MOST_STOP_MS: u64 = 86_400_000;
+
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
@@ -70,29 +73,55 @@
     pub sockets: usize,
     /// Megabytes that the process may take.
     pub memory_mb: usize,
-    /// The module's settings.
-    pub settings: Settings,
-    /// The names of the classes, by position.
-    pub classes: Vec<String>,
-    /// The names of the gauges, by position.
-    pub gauges: Vec<String>,
-    /// The shortest gap between two rounds of decisions.
-    pub round: Micros,
-    /// The uwsgi front, the workers and the routes; off unless a file says otherwise.
-    pub uwsgi: Uwsgi,
+    /// What decides about requests.
+    pub tuning: Tuning,
+    /// The keys that the file has, for the next one to be held against.
+    pub shape: Value,
     /// The capture, if there is to be one.
     pub capture: Option<Capture>,
     /// The store of keyed requests, if there is to be one.
     pub store: Option<Store>,
 }
 
+/// The first key that a file has and another lacks, with its path. A file that was cut and mended, or written by half, still
+/// reads; with what it leaves out taken for its default it would change what nobody meant to change.
+fn lacks(new: &Value, old: &Value) -> Option<String> {
+    match (new, old) {
+        (Value::Object(new), Value::Object(old)) => old.iter().find_map(|(key, old)| match new.get(key) {
+            None | Some(Value::Null) if !old.is_null() => Some(key.clone()),
+            new => lacks(new?, old).map(|below| format!("{key}.{below}")),
+        }),
+        // Classes come and go; each has what all of them had.
+        (Value::Array(new), Value::Array(old)) => {
+            let had = |key: &&String| old.iter().all(|o| o.get(key.as_str()).is_some());
+            let mut keys = old.first()?.as_object()?.keys().filter(had);
+            keys.find_map(|key| {
+                let at = new.iter().position(|v| v.get(key).is_none_or(Value::is_null))?;
+                Some(format!("{at}.{key}"))
+            })
+        }
+        (Value::Object(_) | Value::Array(_), _) | (_, Value::Object(_) | Value::Array(_)) => {
+            Some("...".into())
+        }
+        _ => None,
+    }
+}
+
 impl Config {
+    /// Whether this configuration may take the place of one that is in force.
+    pub fn follows(&self, before: &Value) -> Result<(), String> {
+        match lacks(&self.shape, before) {
+            Some(key) => Err(format!("configuration: no key {key}, which the one in force has")),
+            None => Ok(()),
+        }
+    }
+
     /// Whether somebody does the work of every class: without a processor only workers can.
     pub fn complete(&self) -> Result<(), String> {
         let worked = |class: &&String| {
-            self.uwsgi.routes.iter().any(|r| r.class == **class && r.backend == Backend::Workers)
+            self.tuning.uwsgi.routes.iter().any(|r| r.class == **class && r.backend == Backend::Workers)
         };
-        match self.classes.iter().find(|c| self.parties.processor.is_none() && !worked(c)) {
+        match self.tuning.classes.iter().find(|c| self.parties.processor.is_none() && !worked(c)) {
             Some(class) => Err(format!("no processor, and no route of class {class} to workers")),
             None => Ok(()),
         }
@@ -105,9 +134,9 @@
         let mut config = Config::read(&text, |name| std::env::var(name).ok())?;
         if let Some(path) = operator {
             let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-            let file = Operator::read(&text, &config.classes).map_err(|e| format!("{path}: {e}"))?;
+            let file = Operator::read(&text, &config.tuning.classes).map_err(|e| format!("{path}: {e}"))?;
             config.parties.pools = file.uwsgi.pools();
-            (config.uwsgi, config.capture, config.store) = (file.uwsgi, file.capture, file.store);
+            (config.tuning.uwsgi, config.capture, config.store) = (file.uwsgi, file.capture, file.store);
         }
         config.complete()?;
         Ok(config)
@@ -115,7 +144,12 @@
 
     /// Reads the configuration's text. The name and the address may come from the environment instead.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let shape: Value = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
         let file: File = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+        file.settings.check().map_err(|e| format!("settings: {e}"))?;
+        if file.stop_ms == 0 || file.stop_ms > MOST_STOP_MS {
+            return Err(format!("stop_ms: {} is not from 1 to {MOST_STOP_MS}", file.stop_ms));
+        }
         let address = |given: Option<SocketAddr>, name: &str| match (given, env(name)) {
             (Some(address), _) => Ok(Some(address)),
             (None, Some(text)) => text.parse().map(Some).map_err(|_| format!("{name}: no address: {text}")),
@@ -142,13 +176,16 @@
             stop_ms: file.stop_ms,
             sockets: file.limits.sockets,
             memory_mb: file.limits.memory_mb,
-            classes: file.settings.class_names(),
-            gauges: file.settings.gauge_names().to_vec(),
-            round: file.settings.round(),
-            uwsgi: Uwsgi::default(),
+            tuning: Tuning {
+                classes: file.settings.class_names(),
+                gauges: file.settings.gauge_names().to_vec(),
+                round: file.settings.round(),
+                uwsgi: Uwsgi::default(),
+                settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
+            },
+            shape,
             capture: None,
             store: None,
-            settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
         })
     }
 }
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -6,6 +6,7 @@
 mod explain;
 pub mod import;
 pub mod operator;
+mod reload;
 pub mod serve;
 pub mod signals;
 pub mod store;
--- /dev/null
+++ b/node/src/life/reload.rs
@@ -0,0 +1,65 @@
+//! SIGHUP: another configuration takes over, as a whole or not at all.
+
+use super::capture::Capturing;
+use super::config::Config;
+use super::operator::Store;
+use crate::log::log;
+use crate::net::hub::Shared;
+use serde_json::Value;
+
+/// What of a configuration the next one is held against, and how it is read.
+pub struct Reload<R> {
+    read: R,
+    /// The keys of the file in force.
+    shape: Value,
+    /// The store, which stays as it was at the start.
+    store: Option<Store>,
+}
+
+impl<R: Fn() -> Result<Config, String>> Reload<R> {
+    /// Follows the configuration that the node starts with.
+    pub fn new(read: R, config: &Config) -> Reload<R> {
+        Reload { read, shape: config.shape.clone(), store: config.store.clone() }
+    }
+
+    /// Reads the files, and takes over settings, classes, addresses of the other parties and the capture. With files
+    /// that can't be used the node goes on as it is, in every respect.
+    pub fn reload(&mut self, hub: &Shared, capturing: &mut Capturing) {
+        match self.take(hub, capturing) {
+            Ok(()) => {
+                hub.borrow_mut().files.accepted += 1;
+                log("reload: done");
+            }
+            Err(trouble) => {
+                hub.borrow_mut().files.invalid += 1;
+                log(&format!("reload: not done, the old configuration stays: {trouble}"));
+            }
+        }
+    }
+
+    fn take(&mut self, hub: &Shared, capturing: &mut Capturing) -> Result<(), String> {
+        let new = (self.read)()?;
+        new.follows(&self.shape)?;
+        if new.parties.processor.is_some() != hub.borrow().link.address.is_some() {
+            return Err("a processor can be neither added nor removed while the node runs".into());
+        }
+        if new.parties.pools.iter().map(|p| &p.name).ne(hub.borrow().pools.names().iter()) {
+            return Err(
+                "pools can be neither added nor removed while the node runs, their members can".into()
+            );
+        }
+        // The last that may fail, and nothing has changed before it.
+        let changed = hub.borrow_mut().retune(new.tuning)?;
+        hub.borrow_mut().moved(new.parties);
+        if changed {
+            // A capture's settings are those it began with: another one begins.
+            capturing.end(hub);
+        }
+        capturing.set(hub, new.capture);
+        if new.store != self.store {
+            log("reload: [store] has changed: it stays as it was until the next start");
+        }
+        self.shape = new.shape;
+        Ok(())
+    }
+}
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -2,7 +2,7 @@
 
 use super::capture::{self, Capturing};
 use super::config::Config;
-use super::operator::Store;
+use super::reload::Reload;
 use super::signals::{Signal, Signals};
 use crate::core::Bounds;
 use crate::log::log;
@@ -40,7 +40,7 @@
 ) -> Result<(), String> {
     let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     let mut listeners = vec![(Front::Gateway, config.listen)];
-    listeners.extend(config.uwsgi.listen.map(|at| (Front::Uwsgi, at)));
+    listeners.extend(config.tuning.uwsgi.listen.map(|at| (Front::Uwsgi, at)));
     let listeners = listeners.into_iter().map(|(front, at)| {
         let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
@@ -60,13 +60,14 @@
     let captured = if config.capture.is_some() { capture::memory(memory) } else { 0 };
     let bounds = Bounds::within(memory - captured, most);
     let mut capturing = Capturing::new(&config.name, config.seed, memory);
-    let store = config.store.clone();
-    let Config { settings, classes, gauges, seed, round, uwsgi, .. } = config;
+    let mut reload = Reload::new(read, &config);
+    let Config { tuning, seed, store, .. } = config;
     // A repeat that came within a window may be read as late as its caller waits.
-    let longest = |of: fn(&pipitlever::Class) -> i64| settings.classes.iter().map(of).max().unwrap_or(0);
+    let longest =
+        |of: fn(&pipitlever::Class) -> i64| tuning.settings.classes.iter().map(of).max().unwrap_or(0);
     let window = longest(|c| c.window) + longest(|c| c.deadline);
-    let opened = store.clone().map(|store| super::store::open(store, window)).transpose()?;
-    let mut hub = Hub::new(settings, classes, gauges, seed, round, uwsgi, bounds);
+    let opened = store.map(|store| super::store::open(store, window)).transpose()?;
+    let mut hub = Hub::new(tuning, seed, bounds);
     let most_result = hub.core.most_result();
     hub.bound(most);
     let hub: Shared = Rc::new(RefCell::new(hub));
@@ -104,7 +105,7 @@
     loop {
         match signals.next().await {
             Signal::Count => print_counters(&hub),
-            Signal::Reload => reload(&hub, &mut capturing, &store, &read),
+            Signal::Reload => reload.reload(&hub, &mut capturing),
             Signal::Leave => break,
         }
     }
@@ -114,40 +115,6 @@
     Ok(())
 }
 
-/// Takes over the addresses of the other parties and the capture; everything else stays as it was at the start. With a
-/// configuration that can't be used the node goes on as it is.
-fn reload(
-    hub: &Shared,
-    capturing: &mut Capturing,
-    store: &Option<Store>,
-    read: &impl Fn() -> Result<Config, String>,
-) {
-    let processor = hub.borrow().link.address.is_some();
-    let names = hub.borrow().pools.names();
-    let usable = read().and_then(|new| match new.parties.processor.is_some() == processor {
-        true if new.parties.pools.iter().map(|p| &p.name).ne(names.iter()) => {
-            Err("pools can be neither added nor removed while the node runs, their members can".into())
-        }
-        true => Ok(new),
-        false => Err("a processor can be neither added nor removed while the node runs".into()),
-    });
-    match usable {
-        Ok(new) => {
-            hub.borrow_mut().moved(new.parties);
-            hub.borrow_mut().files.accepted += 1;
-            capturing.set(hub, new.capture);
-            if new.store != *store {
-                log("reload: [store] has changed: it stays as it was until the next start");
-            }
-            log("reload: done");
-        }
-        Err(trouble) => {
-            hub.borrow_mut().files.invalid += 1;
-            log(&format!("reload: not done, the old configuration stays: {trouble}"));
-        }
-    }
-}
-
 fn print_counters(hub: &Shared) {
     let hub = hub.borrow();
     let (requests, running, keys) = hub.core.sizes();
--- a/node/src/net/control.rs
+++ b/node/src/net/control.rs
@@ -182,7 +182,7 @@
     fn figures(&self) -> String {
         use std::fmt::Write;
         let mut text = String::new();
-        for (name, c) in self.class_counts() {
+        for (name, c) in self.core.classes.counts() {
             for (figure, count) in [
                 ("fulfilled", c.fulfilled),
                 ("throttled", c.throttled),
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -8,7 +8,7 @@
 use super::places::{Front, Place, Places};
 use super::pools::{Pools, Put};
 use super::routes::{Backend, Named, Uwsgi};
-use crate::core::counters::{ByClass, Files};
+use crate::core::counters::Files;
 use crate::core::durable::Durable;
 use crate::core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference};
 use crate::log::log;
@@ -26,8 +26,8 @@
 /// The hub as the drivers hold it: one thread, so a cell is enough.
 pub type Shared = Rc<RefCell<Hub>>;
 
-/// A class of work, by position.
-#[derive(Clone, Debug)]
+/// A class of work, by its place in the core.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Its name.
     pub name: Rc<str>,
@@ -71,6 +71,21 @@
     pub pools: Vec<Named>,
 }
 
+/// What decides about requests and may change while the node runs.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names of the classes, in their order there.
+    pub classes: Vec<String>,
+    /// The names of the gauges, as the processor lists them.
+    pub gauges: Vec<String>,
+    /// The shortest gap between two rounds of decisions.
+    pub round: Micros,
+    /// The uwsgi front, the workers and the routes; off unless a file says otherwise.
+    pub uwsgi: Uwsgi,
+}
+
 /// What tells the bodies of a key's tries apart: keyed at random, so that no client can make two agree.
 enum Digest {
     /// In this process alone.
@@ -79,6 +94,25 @@
     Stored(Salt),
 }
 
+/// The classes of a configuration, in its order.
+fn classes(tuning: &Tuning) -> Vec<Class> {
+    let Tuning { settings, classes: names, uwsgi, .. } = tuning;
+    let all = &settings.classes;
+    let class = |(name, class): (&String, &pipitlever::Class)| {
+        // Classes have equal bands of rank, in ascending order of worth.
+        let below = all.iter().filter(|c| c.worth < class.worth).count() as f64;
+        let route = uwsgi.routes.iter().find(|r| r.class == *name && r.backend == Backend::Workers);
+        Class {
+            keyed: class.idempotency == Idempotency::Keyed,
+            workers_path: route.map(|r| r.path.clone()),
+            pool: route.map_or((0, false), |r| (uwsgi.pool(r), r.sticky)),
+            rank: (below + 0.5) / all.len() as f64,
+            name: name.as_str().into(),
+        }
+    };
+    names.iter().zip(all).map(class).collect()
+}
+
 /// All that the drivers share.
 pub struct Hub {
     /// The node's memory.
@@ -120,37 +154,18 @@
 }
 
 impl Hub {
-    /// A hub for these settings; classes and gauges by their names on the wire.
-    pub fn new(
-        settings: Settings,
-        names: Vec<String>,
-        gauge_names: Vec<String>,
-        seed: u64,
-        round: Micros,
-        uwsgi: Uwsgi,
-        bounds: Bounds,
-    ) -> Hub {
-        let all = &settings.classes;
-        let class = |(name, class): (String, &pipitlever::Class)| {
-            // Classes have equal bands of rank, in ascending order of worth.
-            let below = all.iter().filter(|c| c.worth < class.worth).count() as f64;
-            let route = uwsgi.routes.iter().find(|r| r.class == name && r.backend == Backend::Workers);
-            Class {
-                keyed: class.idempotency == Idempotency::Keyed,
-                workers_path: route.map(|r| r.path.clone()),
-                pool: route.map_or((0, false), |r| (uwsgi.pool(r), r.sticky)),
-                rank: (below + 0.5) / all.len() as f64,
-                name: name.into(),
-            }
-        };
-        let classes: Vec<Class> = names.into_iter().zip(all).map(class).collect();
+    /// A hub for these settings.
+    pub fn new(tuning: Tuning, seed: u64, bounds: Bounds) -> Hub {
+        let classes = classes(&tuning);
+        let Tuning { settings, gauges: gauge_names, round, uwsgi, .. } = tuning;
+        let names: Vec<Rc<str>> = classes.iter().map(|c| c.name.clone()).collect();
         let worked = classes.iter().any(|c| c.workers_path.is_some());
         let most_result = if worked { uwsgi.most_response } else { jsonrpc::MOST_RESULT };
         let clock = Clock::start();
         Hub {
             sockets: usize::MAX,
             pools: Pools::new(uwsgi.pools(), seed, clock.now()),
-            core: Core::new(settings, seed, round, most_result, bounds),
+            core: Core::new(settings, &names, seed, round, most_result, bounds),
             uwsgi,
             effects: Vec::new(),
             // Not the same on each start: a processor may still run what the last process called so.
@@ -175,12 +190,30 @@
 
     /// The names of the classes, by position.
     pub fn class_names(&self) -> Vec<String> {
-        self.classes.iter().map(|c| c.name.to_string()).collect()
+        self.core.classes.names()
     }
 
-    /// What became of the requests of each class, by its name.
-    pub fn class_counts(&self) -> impl Iterator<Item = (&str, ByClass)> {
-        self.classes.iter().enumerate().map(|(at, c)| (&*c.name, self.core.by_class(at)))
+    /// Takes over the settings, classes and routes of another configuration, and says whether the module was told
+    /// anything; or nothing of it, and says why not.
+    pub fn retune(&mut self, new: Tuning) -> Result<bool, String> {
+        let wanted = classes(&new);
+        let names: Vec<Rc<str>> = wanted.iter().map(|c| c.name.clone()).collect();
+        let core = &self.core;
+        let same = |at: usize, class: usize| {
+            // A band of ranks that moves is no reason to begin a class anew.
+            let old = Class { rank: wanted[class].rank, ..self.classes[at].clone() };
+            old == wanted[class] && *core.class(at) == new.settings.classes[class]
+        };
+        let seats = core.classes.seat(&names, same, |at| core.class_in_use(at))?;
+        for (class, seat) in wanted.into_iter().zip(&seats) {
+            match self.classes.get_mut(seat.at) {
+                Some(place) => *place = class,
+                None => self.classes.push(class),
+            }
+        }
+        self.uwsgi.routes = new.uwsgi.routes;
+        self.gauge_names = new.gauges;
+        Ok(self.core.retune(new.settings, new.round, &names, &seats))
     }
 
     /// Tells the core something and carries out what comes of it.
@@ -313,7 +346,7 @@
 
     /// The class of this name, by position.
     pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|c| &*c.name == name)
+        self.core.classes.named(name)
     }
 
     /// A gateway said something.
@@ -410,7 +443,8 @@
     /// What tells the bodies of a key's tries apart.
     fn payload(&self, class: usize, body: &[u8]) -> u64 {
         match &self.payloads {
-            Digest::Here(state) => state.hash_one((class, body)),
+            // By name: a class that is defined anew has another place, and its keys keep their window.
+            Digest::Here(state) => state.hash_one((&self.classes[class].name, body)),
             Digest::Stored(salt) => salt.digest(&self.classes[class].name, body),
         }
     }
--- a/node/tests/control.rs
+++ b/node/tests/control.rs
@@ -100,7 +100,7 @@
     assert_eq!(gateway.receive()["result"]["doc"], base64(b"result"));
     // It stays so over a SIGHUP.
     node.reload(json!({}));
-    node.line("reload: done");
+    assert_eq!(node.line("reload: "), "reload: done");
     assert!(!healthy(&mut gateway));
     for _ in 0..2 {
         assert_eq!(door.call("POST /active").0, 200);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -364,6 +364,11 @@
     stop: Micros,
 }
 
+/// The shortest aim of these classes, which the lines and the slow loop go by.
+fn shortest_aim<'a>(classes: impl Iterator<Item = &'a Class>) -> f64 {
+    classes.map(|c| c.aim).min().unwrap_or(1_000_000).max(1) as f64
+}
+
 /// Decides for one server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Controller {
@@ -401,7 +406,7 @@
     /// A controller for a server that starts now, with a seed for its random numbers.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let s = settings;
-        let aim = s.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000).max(1) as f64;
+        let aim = shortest_aim(s.classes.iter());
         // Until runs are seen, one is taken to need a quarter of the shortest aim.
         let slot = 0.25 * aim;
         let rank = Rank { tenants: vec![VecDeque::new(); s.tenants.len()], retries: 0.0 };
@@ -439,6 +444,21 @@
         }
     }
 
+    /// Other settings from now on. Requests in hand end under the class that they came with, so classes keep their
+    /// places: those in force are at these, each with the place of the class whose experience it takes over.
+    pub fn retune(&mut self, settings: Settings, in_force: &[(usize, Option<usize>)]) {
+        let before = std::mem::take(&mut self.seen);
+        self.s = Settings { cold: self.s.cold, ..settings };
+        self.seen = (0..self.s.classes.len()).map(|i| before.get(i).cloned().unwrap_or_default()).collect();
+        for &(at, was) in in_force.iter().filter(|(at, was)| Some(*at) != *was) {
+            self.seen[at] = was.and_then(|was| before.get(was).cloned()).unwrap_or_default();
+        }
+        self.rank.tenants.resize(self.s.tenants.len(), VecDeque::new());
+        self.aim = shortest_aim(in_force.iter().map(|&(at, _)| &self.s.classes[at]));
+        let [least, most] = Calls::bounds(&self.s);
+        self.calls.limit = self.calls.limit.clamp(least, most);
+    }
+
     /// The mode that the server is in.
     pub fn mode(&self) -> Mode {
         self.gates[0].modes.mode
