--- a/src/rules.rs
+++ b/src/rules.rs
@@ -444,8 +444,9 @@
         }
     }
 
-    /// Other settings from now on. Requests in hand end under the class that they came with, so classes keep their
-    /// places: those in force are at these, each with the place of the class whose experience it takes over.
+    /// Other settings from now on. Requests in hand end under the class that they came with, so classes keep
+    /// their places: those in force are at these, each with the place of the class whose experience it takes
+    /// over.
     pub fn retune(&mut self, settings: Settings, in_force: &[(usize, Option<usize>)]) {
         let before = std::mem::take(&mut self.seen);
         self.s = Settings { cold: self.s.cold, ..settings };
@@ -584,9 +585,8 @@
         self.run.limit / self.run.slot.max(1.0) * 1e6 * self.run.success
     }
 
-    /// The length of a line: all that wait to start, or those that wait to call and, beyond a bunch, to start and need
-    /// calls.
-    /// What stands unread counts with the first, by Little's law on the wait that arrivals report, since
+    /// The length of a line: all that wait to start, or those that wait to call and, beyond a bunch, to start
+    /// and need calls. What stands unread counts with the first, by Little's law on the wait that arrivals report, since
     /// reading takes the cores that runs need. It never brings on discard: to read only in order to refuse
     /// would serve nobody.
     fn line(&self, gate: usize) -> f64 {
@@ -597,7 +597,7 @@
             return (held + unread).min(self.gates[0].modes.discard - 1.0).max(held);
         }
         let to_call = self.held.iter().filter(|id| self.s.classes[self.entries[id].class].calls);
-        // Up to the first line's abatement they are an ordinary bunch: that many the cores start while calls end.
+        // Up to the first line's abatement they are an ordinary bunch, which the cores soon start.
         let beyond = (to_call.count() as f64 - self.gates[0].modes.abate).max(0.0);
         beyond + self.parked().count() as f64
     }
