--- a/src/rules.rs
+++ b/src/rules.rs
@@ -586,9 +586,9 @@
     }
 
     /// The length of a line: all that wait to start, or those that wait to call and, beyond a bunch, to start
-    /// and need calls. What stands unread counts with the first, by Little's law on the wait that arrivals report, since
-    /// reading takes the cores that runs need. It never brings on discard: to read only in order to refuse
-    /// would serve nobody.
+    /// and need calls. What stands unread counts with the first, by Little's law on the wait that arrivals
+    /// report, since reading takes the cores that runs need. It never brings on discard: to read only in
+    /// order to refuse would serve nobody.
     fn line(&self, gate: usize) -> f64 {
         if gate == 0 {
             let held = self.held.len() as f64;
