--- a/capture/src/record.rs
+++ b/capture/src/record.rs
@@ -80,6 +80,8 @@
     Store,
     /// The node, as its store has no room for another key.
     StoreFull,
+    /// The node, as another process of it may have run the key.
+    Elsewhere,
 }
 
 /// One thing that a capture says. The loop borrows what it writes; whoever reads owns it, as a [`Record`].
--- /dev/null
+++ b/handover/src/successor.rs
@@ -0,0 +1,107 @@
+//! The side of the process that comes: when it may serve.
+
+use crate::message::{Key, Message, Welcome};
+
+/// How far it has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It has greeted, and waits to be welcomed.
+    Greeting,
+    /// It has the sockets, and gets its own things ready.
+    Preparing,
+    /// It has asked for the keys.
+    Freezing,
+    /// It serves; its predecessor answers what it has read, and tells what becomes of its keys.
+    Serving,
+    /// There is no predecessor, or none any more.
+    Alone,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Take over the sockets that came with this.
+    Sockets(Welcome),
+    /// Enter a key, or how it stands now.
+    Enter(Key),
+    /// No run of this key began.
+    Free(String),
+    /// Say `Taken`, accept, and say yes to operators; health and share as it was told.
+    Serve {
+        /// Health checks hear bad.
+        standby: bool,
+        /// The share of the processor's memory that the predecessor may still take.
+        share: f64,
+    },
+    /// The predecessor doesn't keep to the protocol, and lives: end, so that it serves on as if nothing had been.
+    GiveUp(&'static str),
+}
+
+/// What the end of the connection means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// There is no predecessor: start as if there had never been one.
+    Nobody,
+    /// It died before all keys were here: those that aren't may have been run.
+    Doubtful,
+    /// It ended with all keys here. Those that it held or ran are at an end that nobody knows.
+    Settled,
+}
+
+/// The steps of the successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Successor {
+    stage: Stage,
+}
+
+impl Successor {
+    /// It has greeted a predecessor.
+    pub fn greeting() -> Successor {
+        Successor { stage: Stage::Greeting }
+    }
+
+    /// There is no predecessor.
+    pub fn alone() -> Successor {
+        Successor { stage: Stage::Alone }
+    }
+
+    /// How far it has come.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Its own link to the processor is up; whether the keys are to be asked for.
+    pub fn ready(&mut self) -> bool {
+        let ask = self.stage == Stage::Preparing;
+        if ask {
+            self.stage = Stage::Freezing;
+        }
+        ask
+    }
+
+    /// The predecessor said something.
+    pub fn heard(&mut self, message: Message) -> Act {
+        match (self.stage, message) {
+            (Stage::Greeting, Message::Welcome(welcome)) => {
+                self.stage = Stage::Preparing;
+                Act::Sockets(welcome)
+            }
+            (Stage::Freezing | Stage::Serving, Message::Key(key)) => Act::Enter(key),
+            (Stage::Freezing | Stage::Serving, Message::Free(key)) => Act::Free(key),
+            (Stage::Freezing, Message::End { standby, share }) => {
+                self.stage = Stage::Serving;
+                Act::Serve { standby, share }
+            }
+            _ => Act::GiveUp("it said something that is not its turn to say"),
+        }
+    }
+
+    /// The connection has ended.
+    pub fn lost(&mut self) -> Lost {
+        match std::mem::replace(&mut self.stage, Stage::Alone) {
+            Stage::Greeting | Stage::Alone => Lost::Nobody,
+            Stage::Preparing | Stage::Freezing => Lost::Doubtful,
+            Stage::Serving => Lost::Settled,
+        }
+    }
+}
--- a/lab/src/words.rs
+++ b/lab/src/words.rs
@@ -197,6 +197,7 @@
         By::Overdue => "the node's own: the module had not answered by the due time",
         By::Store => "the node's own: its store of keys did not work, was slow, or may have lost keys",
         By::StoreFull => "the node's own: its store of keys had no room",
+        By::Elsewhere => "the node's own: another process of it may have run the key",
     };
     format!("{what}; {who}")
 }
@@ -224,5 +225,6 @@
         By::Overdue => "overdue",
         By::Store => "store",
         By::StoreFull => "store-full",
+        By::Elsewhere => "elsewhere",
     }
 }
--- a/node/src/core/classes.rs
+++ b/node/src/core/classes.rs
@@ -87,6 +87,11 @@
         self.slots.iter().position(|s| s.live && &*s.name == name)
     }
 
+    /// The name of the class at this place.
+    pub fn name(&self, at: usize) -> &str {
+        &self.slots[at].name
+    }
+
     /// The places of the classes in force.
     pub fn in_force(&self) -> Vec<usize> {
         (0..self.slots.len()).filter(|&at| self.slots[at].live).collect()
--- a/node/src/core/durable.rs
+++ b/node/src/core/durable.rs
@@ -15,8 +15,6 @@
 #[derive(Debug)]
 pub struct Durable {
     gate: Gate,
-    /// The names of the classes, by position.
-    classes: Vec<Rc<str>>,
     /// From the node's clock to the machine's count since its start.
     up: Micros,
     /// Answers with a result wait until it is on the disk.
@@ -32,12 +30,11 @@
 }
 
 impl Durable {
-    /// For these classes. `up` leads from the node's clock to the machine's count since its start; with `wait` answers
+    /// `up` leads from the node's clock to the machine's count since its start; with `wait` answers
     /// wait until their outcome is on the disk; until `suspect` keyed requests are refused.
-    pub fn new(gate: Gate, classes: &[String], up: Micros, wait: bool, suspect: Option<Micros>) -> Durable {
+    pub fn new(gate: Gate, up: Micros, wait: bool, suspect: Option<Micros>) -> Durable {
         Durable {
             gate,
-            classes: classes.iter().map(|c| Rc::from(&**c)).collect(),
             up,
             wait,
             suspect: suspect.unwrap_or(Micros::MIN),
@@ -76,7 +73,7 @@
                     Kept::Unknown(until)
                 }
             };
-            self.keys.recover(&key, self.next_id, intent.payload, until, outcome);
+            self.keys.recover(&key, self.next_id, intent.payload, until, Some(outcome));
         }
         self.durable = Some(Box::new(durable));
     }
@@ -105,7 +102,7 @@
             id: 0,
             reference: incoming.reference,
             key: incoming.key.as_deref().unwrap_or_default().to_owned(),
-            class: durable.classes[incoming.class].to_string(),
+            class: self.classes.name(incoming.class).to_owned(),
             payload: incoming.payload,
             arrived: incoming.arrived,
             window,
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -1,7 +1,7 @@
 //! The table of keys: who holds a key, who waits for the outcome, and the outcome once there is one.
 
 use pipitlever::{Micros, RequestId};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// What an entry takes beside its result, in all tables together.
@@ -50,6 +50,8 @@
     most_result: usize,
     /// A repeat may be read this long after it reached the machine.
     reading: Micros,
+    /// Keys that another process is still to be told of, while one is: all at first, then each that changes.
+    news: Option<VecDeque<Rc<str>>>,
 }
 
 impl Keys {
@@ -64,9 +66,38 @@
             most,
             most_result,
             reading,
+            news: None,
         }
     }
 
+    /// Another process is to be told how all keys stand and each change from now on; or nothing more.
+    pub fn tell(&mut self, tell: bool) {
+        self.news = tell.then(|| self.entries.keys().cloned().collect());
+    }
+
+    /// The next key to tell of, and how it stands: no entry if it is free.
+    pub fn next_news(&mut self) -> Option<(Rc<str>, Option<&Entry>)> {
+        let key = self.news.as_mut()?.pop_front()?;
+        let entry = self.entries.get(&key);
+        Some((key, entry))
+    }
+
+    /// Whether there is anything to tell.
+    pub fn has_news(&self) -> bool {
+        self.news.as_ref().is_some_and(|n| !n.is_empty())
+    }
+
+    fn changed(&mut self, key: &Rc<str>) {
+        if let Some(news) = &mut self.news {
+            news.push_back(key.clone());
+        }
+    }
+
+    /// What the entries take, and how much they may from now on. None is forgotten for it.
+    pub fn bound(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// What an entry takes: the longest result there may be, until its own is there.
     fn bytes(&self, entry: &Entry) -> usize {
         let result = match &entry.kept {
@@ -79,7 +110,10 @@
 
     /// The run of the try that holds this key has ended.
     pub fn ended(&mut self, key: &str, kept: Kept) {
-        let Some(entry) = self.entries.get_mut(key) else { return };
+        let Some((name, _)) = self.entries.get_key_value(key) else { return };
+        let name = name.clone();
+        self.changed(&name);
+        let entry = self.entries.get_mut(key).expect("seen above");
         let before = entry.kept.replace(kept);
         debug_assert_eq!(before, None, "a run ends once");
         let after = self.bytes(&self.entries[key]);
@@ -101,6 +135,11 @@
         self.entries.get_mut(key).filter(|e| e.holder == id)
     }
 
+    /// The repeats that wait for the outcome of a key, to be given it; nothing if the key has none.
+    pub fn waiting(&mut self, key: &str) -> Option<Vec<RequestId>> {
+        self.entries.get_mut(key).map(|e| std::mem::take(&mut e.waiting))
+    }
+
     /// The key that this try holds.
     pub fn key_of(&self, id: RequestId) -> Option<Rc<str>> {
         self.holders.get(&id).cloned()
@@ -129,15 +168,15 @@
         let expires = self.entries.entry(key.clone()).or_insert(fresh).expires;
         self.expiry.insert((expires, key.clone()));
         self.holders.insert(id, key.clone());
+        self.changed(key);
         true
     }
 
-    /// Enters a key that a process before this one ran, with its outcome. Within its window it is never refused a
+    /// Enters a key that a process before this one ran, with its outcome if there is one yet. Within its window it is never refused a
     /// place.
-    pub fn recover(&mut self, key: &Rc<str>, id: RequestId, payload: u64, until: Micros, kept: Kept) {
+    pub fn recover(&mut self, key: &Rc<str>, id: RequestId, payload: u64, until: Micros, kept: Option<Kept>) {
         let expires = until + self.reading;
-        let entry =
-            Entry { holder: id, payload, until, expires, begun: true, kept: Some(kept), waiting: Vec::new() };
+        let entry = Entry { holder: id, payload, until, expires, begun: true, kept, waiting: Vec::new() };
         self.remove(key);
         self.taken += self.bytes(&entry);
         self.entries.insert(key.clone(), entry);
@@ -169,6 +208,7 @@
     /// Takes out an entry: the one place where it is given back.
     pub fn remove(&mut self, key: &str) -> Option<Entry> {
         let (key, entry) = self.entries.remove_entry(key)?;
+        self.changed(&key);
         self.expiry.remove(&(entry.expires, key));
         self.holders.remove(&entry.holder);
         self.taken -= self.bytes(&entry);
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -6,11 +6,13 @@
 pub mod classes;
 pub mod counters;
 pub mod durable;
+pub mod handed;
 pub mod keys;
 
 use classes::{Classes, Seat};
 use counters::Counters;
 use durable::Durable;
+use handed::Handed;
 use keys::{Kept, Keys};
 use pipitlever::*;
 use pipitlever_capture::record::{digest, By, Name, Told};
@@ -271,6 +273,10 @@
     gauges: (Micros, Gauges),
     /// Where all that the module is told and says is kept, if it is.
     tap: Option<Tap>,
+    /// Callers mark each further try.
+    pub marked: bool,
+    /// What another process of this node means for this one.
+    handed: Handed,
     /// Keyed runs are remembered over a restart, if they are.
     durable: Option<Box<Durable>>,
     /// Counts since the start.
@@ -319,6 +325,8 @@
             standby: false,
             gauges: (Micros::MIN / 2, Gauges::default()),
             tap: None,
+            marked: false,
+            handed: Handed::default(),
             durable: None,
             counters: Counters::default(),
             classes,
@@ -337,12 +345,18 @@
             return;
         }
         self.settings.cold |= cold;
-        self.module = Some(Controller::new(self.settings.clone(), self.seed));
+        self.module = Some(Controller::new(self.shared(&self.settings), self.seed));
         // The module counts the time to warm up from its first step.
         self.step(started.min(now), &[]);
         self.step(now, &[]);
     }
 
+    /// The longest deadline of the classes in force.
+    pub fn longest_deadline(&self) -> Micros {
+        let classes = self.classes.in_force().into_iter().map(|at| self.settings.classes[at].deadline);
+        classes.max().unwrap_or(0)
+    }
+
     /// How the class at a place is defined.
     pub fn class(&self, at: usize) -> &Class {
         &self.settings.classes[at]
@@ -379,8 +393,9 @@
             return false;
         }
         let in_force: Vec<_> = seats.iter().map(|s| (s.at, s.was)).collect();
+        let settings = self.shared(&self.settings);
         if let Some(module) = &mut self.module {
-            module.retune(self.settings.clone(), &in_force);
+            module.retune(settings, &in_force);
         }
         true
     }
@@ -475,6 +490,14 @@
         let new_key =
             incoming.key.as_ref().is_some_and(|k| self.keys.repeated(k, incoming.arrived).is_none());
         let no_place = new_key && self.keys.full();
+        if let Some(answer) = self.doubts(now, incoming.retry).filter(|_| new_key) {
+            // Another process may have run it. Never offered, never run here.
+            self.now = self.now.max(now);
+            note(&mut self.tap, self.now, &incoming, &answer, By::Elsewhere);
+            self.answered_as(incoming.class, &answer);
+            self.effects.push(Effect::Answer(incoming.origin, answer));
+            return;
+        }
         let store = if new_key { self.store_refuses(now) } else { None };
         if self.module.is_none() || full || no_place || store.is_some() {
             // Nothing may be forgotten to make room, so new work has to wait. Never offered, never run.
@@ -484,7 +507,7 @@
                 (Some(_), _) if no_place => (By::KeysFull, FULL_COOLDOWN),
                 (Some(_), store) => store.expect("nothing else is left"),
             };
-            let answer = Answer::Refused { cooldown, nowhere: false };
+            let answer = Answer::Refused { cooldown: self.keep_away(cooldown), nowhere: false };
             self.now = self.now.max(now);
             note(&mut self.tap, self.now, &incoming, &answer, by);
             self.answered_as(incoming.class, &answer);
@@ -789,7 +812,8 @@
                 // Refused promises that this try never ran. The module may turn a running read away: to its
                 // caller that is a failure.
                 if matches!(attempt.stage, Stage::Held) {
-                    self.answer(id, Answer::Refused { cooldown: backoff, nowhere: no_retry }, By::Module);
+                    let cooldown = self.keep_away(backoff);
+                    self.answer(id, Answer::Refused { cooldown, nowhere: no_retry }, By::Module);
                     self.close(id);
                 } else {
                     self.fail(id);
--- a/node/src/core/tests.rs
+++ b/node/src/core/tests.rs
@@ -236,9 +236,8 @@
     fn stored(wait: bool, suspect: Option<Micros>, found: Vec<Recovered>) -> Core {
         let mut core = core();
         let rules = Rules { most: 1 << 20, spare: 1 << 16, most_result: 4096, each: false };
-        let names = ["view", "swap"].map(str::to_owned);
         let gate = Gate::new(rules, 0, suspect, 1 << 32);
-        core.remember(Durable::new(gate, &names, 1000 * SECOND, wait, suspect), found);
+        core.remember(Durable::new(gate, 1000 * SECOND, wait, suspect), found);
         core
     }
 
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -180,6 +180,7 @@
                 classes: file.settings.class_names(),
                 gauges: file.settings.gauge_names().to_vec(),
                 round: file.settings.round(),
+                marked: file.settings.marks_retry(),
                 uwsgi: Uwsgi::default(),
                 settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
             },
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -4,13 +4,14 @@
 use super::config::Config;
 use super::reload::Reload;
 use super::signals::{Signal, Signals};
-use crate::core::Bounds;
 use crate::log::log;
-use crate::net::hub::{Hub, Shared};
-use crate::net::nudge::Nudge;
+use crate::net::front::Fronts;
+use crate::net::handover::{self, Trouble};
+use crate::net::hub::{Hub, Limits, Shared};
 use crate::net::places::Front;
-use crate::net::{ahead, by, control, front, ledger, membership, processor, timers, workers};
+use crate::net::{ahead, by, control, ledger, membership, processor, timers, workers};
 use async_executor::LocalExecutor;
+use futures_lite::future;
 use pipitlever_reactor::{block_on, Async, Timer};
 use std::cell::RefCell;
 use std::net::TcpListener;
@@ -24,6 +25,10 @@
 const SPARE_MS: u64 = 150;
 /// After `goaway`, requests that were already on their way are waited for this long, in milliseconds.
 const CROSSING_MS: u64 = 500;
+/// A process that another one has replaced is killed so long after SIGTERM, beside the longest deadline, and of that no more than
+/// this counts, in milliseconds (DAYS, "Replacing the process").
+const SUPERSEDED_MS: u64 = 700;
+const SUPERSEDED_MOST_MS: u64 = 3000;
 
 /// Runs one node to its end. `read` reads the configuration anew.
 pub fn serve(config: Config, read: impl Fn() -> Result<Config, String> + 'static) -> Result<(), String> {
@@ -41,12 +46,26 @@
     let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     let mut listeners = vec![(Front::Gateway, config.listen)];
     listeners.extend(config.tuning.uwsgi.listen.map(|at| (Front::Uwsgi, at)));
-    let listeners = listeners.into_iter().map(|(front, at)| {
+    // A store is of one process at a time, and a port that the system picks has nobody before.
+    let place = handover::place(config.listen).filter(|_| config.store.is_none());
+    let met = match &place {
+        Some(place) if config.listen.port() != 0 => {
+            handover::meet(place, &config.name, config.listen).await?
+        }
+        _ => None,
+    };
+    let (mut met, mut sockets) = (met, Vec::new());
+    let mut passed = met.as_mut().map(|met| std::mem::take(&mut met.sockets)).unwrap_or_default();
+    for (front, at) in listeners {
+        if let Some(at) = passed.iter().position(|(passed, address, _)| (*passed, *address) == (front, at)) {
+            sockets.push(passed.swap_remove(at));
+            continue;
+        }
         let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
-        Ok((front, at, bound))
-    });
-    let listeners = listeners.collect::<Result<Vec<_>, String>>()?;
+        sockets.push((front, at, bound));
+    }
+    drop(passed);
     let door = config.control.map(|at| {
         let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
@@ -55,10 +74,10 @@
     let door = door.transpose()?;
     // Each caller's, and the listener's; those whose answer is on its way take no place among callers any more.
     let for_door = if door.is_some() { 2 * control::MOST_CALLERS } else { 0 };
-    let most = config.sockets.saturating_sub(KEPT_BACK + for_door).max(8);
     let memory = config.memory_mb << 20;
     let captured = if config.capture.is_some() { capture::memory(memory) } else { 0 };
-    let bounds = Bounds::within(memory - captured, most);
+    let kept_back = KEPT_BACK + for_door;
+    let limits = Limits { memory: memory - captured, sockets: config.sockets, kept_back };
     let mut capturing = Capturing::new(&config.name, config.seed, memory);
     let mut reload = Reload::new(read, &config);
     let Config { tuning, seed, store, .. } = config;
@@ -67,9 +86,13 @@
         |of: fn(&pipitlever::Class) -> i64| tuning.settings.classes.iter().map(of).max().unwrap_or(0);
     let window = longest(|c| c.window) + longest(|c| c.deadline);
     let opened = store.map(|store| super::store::open(store, window)).transpose()?;
-    let mut hub = Hub::new(tuning, seed, bounds);
+    let mut hub = Hub::new(tuning, seed, limits.bounds(false));
     let most_result = hub.core.most_result();
-    hub.bound(most);
+    hub.bound(limits);
+    if let Some(met) = &met {
+        hub.salt = met.salt;
+        hub.share(Some(0.5));
+    }
     let hub: Shared = Rc::new(RefCell::new(hub));
     if let Some(opened) = opened {
         opened.begin(&executor, &hub, most_result)?;
@@ -87,14 +110,33 @@
     executor.spawn(ledger::calls(executor.clone(), hub.clone())).detach();
     executor.spawn(membership::reports(hub.clone(), config.name.clone())).detach();
     executor.spawn(workers::runs(executor.clone(), hub.clone())).detach();
-    let mut leave = Vec::new();
-    for (front, at, listener) in listeners {
-        let nudge = Nudge::new();
-        leave.push(nudge.clone());
-        let accepting = front::listen(executor.clone(), hub.clone(), front, listener, nudge);
-        executor.spawn(accepting).detach();
-        let protocol = if front == Front::Gateway { "json-rpc" } else { "uwsgi" };
-        log(&format!("serving: name={} protocol={protocol} listen={at}", config.name));
+    let name = config.name.clone();
+    let at = sockets[0].1;
+    for (front, at, _) in &sockets {
+        log(&format!("serving: name={name} protocol={} listen={at}", front.word()));
+    }
+    let fronts = Fronts::new(executor.clone(), hub.clone(), sockets);
+    let offer = {
+        let (executor, hub, fronts, name) = (executor.clone(), hub.clone(), fronts.clone(), name.clone());
+        // Under the address that the system has picked, if it has.
+        let place = place.and_then(|_| handover::place(at));
+        move || place.iter().for_each(|place| handover::offer(&executor, &hub, &fronts, &name, place))
+    };
+    let trouble = Trouble::default();
+    match met {
+        None => {
+            fronts.open();
+            offer();
+        }
+        Some(met) => {
+            let (hub, fronts, trouble) = (hub.clone(), fronts.clone(), trouble.clone());
+            let taking = async move {
+                if let Err(what) = met.take_over(&hub, &fronts, offer).await {
+                    trouble.found(what);
+                }
+            };
+            executor.spawn(taking).detach();
+        }
     }
 
     if let Some((at, listener)) = door {
@@ -103,13 +145,18 @@
     }
 
     loop {
-        match signals.next().await {
+        let signal = future::or(async { Ok(signals.next().await) }, async { Err(trouble.wait().await) });
+        match signal.await? {
             Signal::Count => print_counters(&hub),
             Signal::Reload => reload.reload(&hub, &mut capturing),
             Signal::Leave => break,
         }
     }
-    drain(&hub, &leave, config.stop_ms).await;
+    let superseded = hub.borrow_mut().predecessor.leave();
+    match superseded {
+        true => hand_over(&hub).await,
+        false => drain(&hub, &fronts, config.stop_ms).await,
+    }
     print_counters(&hub);
     capturing.end(&hub);
     Ok(())
@@ -128,14 +175,32 @@
 }
 
 /// Leaves: nothing new is let in, all that was read is answered, and the end comes before the kill.
-async fn drain(hub: &Shared, leave: &[Nudge], stop_ms: u64) {
+async fn drain(hub: &Shared, fronts: &Fronts, stop_ms: u64) {
     let stop = ahead(stop_ms.saturating_sub(SPARE_MS));
     let crossed = ahead(CROSSING_MS).min(stop);
     log(&format!("draining: stop_ms={stop_ms} owed={}", hub.borrow().core.owed()));
-    leave.iter().for_each(Nudge::give);
     // The module keeps two ticks back from this for its last answers.
     hub.borrow_mut().drain((stop_ms.saturating_sub(SPARE_MS) * 1000) as i64);
+    fronts.leave();
+    hub.borrow().alone.give();
     Timer::at(crossed).await;
+    answered(hub, stop).await;
+}
+
+/// Leaves, while the node goes on in another process: what this one has read is answered, and what becomes of its keys is told.
+async fn hand_over(hub: &Shared) {
+    let longest = hub.borrow().core.longest_deadline() / 1000;
+    let stop_ms = (longest as u64).min(SUPERSEDED_MOST_MS) + SUPERSEDED_MS;
+    let left = stop_ms - SPARE_MS;
+    let stop = ahead(left);
+    log(&format!("leaving: stop_ms={stop_ms} owed={}, another process serves", hub.borrow().core.owed()));
+    hub.borrow_mut().superseded((left * 1000) as i64);
+    Timer::at(ahead(CROSSING_MS).min(stop)).await;
+    answered(hub, stop).await;
+}
+
+/// Waits until all that was read is answered, or the time has come.
+async fn answered(hub: &Shared, stop: Instant) {
     let settled = async {
         while !hub.borrow().settled() {
             Timer::at(ahead(10)).await;
--- a/node/src/life/store.rs
+++ b/node/src/life/store.rs
@@ -78,8 +78,8 @@
             let now = hub.clock.now();
             let suspect = (!self.found.damage.is_empty()).then(|| now + self.found.longest.max(self.window));
             let gate = Gate::new(rules, used, suspect, first);
-            let (names, wait) = (hub.class_names(), self.settings.wait);
-            let durable = Durable::new(gate, &names, machine.up - now, wait, suspect);
+            let wait = self.settings.wait;
+            let durable = Durable::new(gate, machine.up - now, wait, suspect);
             for key in &mut self.found.keys {
                 key.until = hub.clock.of_unix(key.until);
             }
--- a/node/src/net/clock.rs
+++ b/node/src/net/clock.rs
@@ -27,6 +27,11 @@
         self.now() - (unix() - at)
     }
 
+    /// What leads from a time of this clock to Unix time, now.
+    pub fn ahead_to_unix(&self) -> Micros {
+        unix() - self.now()
+    }
+
     /// A time of this clock as an instant to wait for.
     pub fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros((at - self.base).max(0) as u64)
--- a/node/src/net/control.rs
+++ b/node/src/net/control.rs
@@ -153,7 +153,7 @@
         let (yes, text) = match call {
             Call::Status => match () {
                 () if self.draining() => (false, "draining\n".into()),
-                () if self.core.fresh() => (false, "starting\n".into()),
+                () if self.core.fresh() || !self.taking => (false, "starting\n".into()),
                 () if self.core.standing_by() => (true, "standby\n".into()),
                 () => (true, "active\n".into()),
             },
--- a/node/src/net/front.rs
+++ b/node/src/net/front.rs
@@ -9,7 +9,8 @@
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use pipitlever_reactor::{Async, Timer};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::cell::RefCell;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 /// After its last word a connection is read for so long, in milliseconds, with such pauses.
@@ -20,11 +21,11 @@
 
 /// Accepts connections until told to leave; then takes those that the machine has already accepted, and
 /// closes the listening socket.
-pub async fn listen(
+async fn listen(
     executor: Rc<LocalExecutor<'static>>,
     hub: Shared,
     front: Front,
-    listener: Async<TcpListener>,
+    listener: Rc<Async<TcpListener>>,
     leave: Nudge,
 ) {
     let accept = |stream: TcpStream| {
@@ -55,6 +56,10 @@
         }
     };
     future::or(leave.wait(), accepting).await;
+    if !hub.borrow().draining() {
+        // Another process of this node accepts from the same queue.
+        return;
+    }
     // A request on a connection that the machine accepted is held here: none may be cut off by the close.
     while let Ok((stream, _)) = listener.get_ref().accept() {
         accept(stream);
@@ -182,3 +187,54 @@
         };
     }
 }
+
+/// A socket that a front listens on, and its address.
+pub type Listening = (Front, SocketAddr, Rc<Async<TcpListener>>);
+
+/// The sockets that the fronts listen on, whether anything is accepted from them or not.
+pub struct Fronts {
+    executor: Rc<LocalExecutor<'static>>,
+    hub: Shared,
+    sockets: RefCell<Vec<Listening>>,
+    leave: RefCell<Vec<Nudge>>,
+}
+
+impl Fronts {
+    /// Listens on these, and accepts nothing yet.
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        hub: Shared,
+        sockets: Vec<(Front, SocketAddr, Async<TcpListener>)>,
+    ) -> Rc<Fronts> {
+        let sockets = sockets.into_iter().map(|(front, at, listener)| (front, at, Rc::new(listener)));
+        Rc::new(Fronts { executor, hub, sockets: RefCell::new(sockets.collect()), leave: RefCell::default() })
+    }
+
+    /// Accepts from now on.
+    pub fn open(&self) {
+        self.hub.borrow_mut().take_clients(true);
+        for (front, _, listener) in self.sockets.borrow().iter() {
+            let leave = Nudge::new();
+            self.leave.borrow_mut().push(leave.clone());
+            let accepting = listen(self.executor.clone(), self.hub.clone(), *front, listener.clone(), leave);
+            self.executor.spawn(accepting).detach();
+        }
+    }
+
+    /// Accepts nothing more, as another process of this node does.
+    pub fn pause(&self) {
+        self.hub.borrow_mut().take_clients(false);
+        self.leave.take().iter().for_each(Nudge::give);
+    }
+
+    /// Lets the sockets go: they close once what the machine has accepted is taken.
+    pub fn leave(&self) {
+        self.sockets.take();
+        self.leave.take().iter().for_each(Nudge::give);
+    }
+
+    /// The sockets, to be passed on.
+    pub fn sockets(&self) -> Vec<Listening> {
+        self.sockets.borrow().clone()
+    }
+}
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -16,6 +16,7 @@
 use crate::wire::processor::{Notice, RunEnd};
 use crate::wire::uwsgi::{self, Packet, Response, Status};
 use pipitlever::{Idempotency, Micros, Outcome, Settings};
+use pipitlever_handover::predecessor::Predecessor;
 use pipitlever_store::record::Salt;
 use pipitlever_store::recovery::Recovered;
 use std::cell::RefCell;
@@ -71,6 +72,29 @@
     pub pools: Vec<Named>,
 }
 
+/// What the process may take of the machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of memory.
+    pub memory: usize,
+    /// Descriptors.
+    pub sockets: usize,
+    /// Of these, those that the fronts leave to all else.
+    pub kept_back: usize,
+}
+
+impl Limits {
+    /// Connections that there may be, of the fronts and to the workers together; half beside another process.
+    pub fn connections(&self, shared: bool) -> usize {
+        (self.sockets.saturating_sub(self.kept_back) / if shared { 2 } else { 1 }).max(8)
+    }
+
+    /// The shares of the memory.
+    pub fn bounds(&self, shared: bool) -> Bounds {
+        Bounds::within(self.memory / if shared { 2 } else { 1 }, self.connections(shared))
+    }
+}
+
 /// What decides about requests and may change while the node runs.
 #[derive(Clone, Debug)]
 pub struct Tuning {
@@ -82,18 +106,12 @@
     pub gauges: Vec<String>,
     /// The shortest gap between two rounds of decisions.
     pub round: Micros,
+    /// Callers mark each further try.
+    pub marked: bool,
     /// The uwsgi front, the workers and the routes; off unless a file says otherwise.
     pub uwsgi: Uwsgi,
 }
 
-/// What tells the bodies of a key's tries apart: keyed at random, so that no client can make two agree.
-enum Digest {
-    /// In this process alone.
-    Here(RandomState),
-    /// Over restarts, too, by the store's own salt.
-    Stored(Salt),
-}
-
 /// The classes of a configuration, in its order.
 fn classes(tuning: &Tuning) -> Vec<Class> {
     let Tuning { settings, classes: names, uwsgi, .. } = tuning;
@@ -139,6 +157,20 @@
     pub uwsgi: Uwsgi,
     /// Connections that there may be, of the fronts and to the workers together.
     sockets: usize,
+    /// The node's limits, to be shared with another process of it.
+    limits: Limits,
+    /// This process takes clients: it accepts.
+    pub taking: bool,
+    /// The node goes on in another process: this one's end is not the node's.
+    superseded: bool,
+    /// Another process that comes to take over, as this one sees it.
+    pub predecessor: Predecessor,
+    /// This process leaves, and no other one goes on in its place.
+    pub alone: Nudge,
+    /// There is something to tell it.
+    pub news: Nudge,
+    /// What is being told it, in bytes.
+    pub telling: usize,
     /// The pools of workers.
     pub pools: Pools,
     /// The store may have something to write.
@@ -146,7 +178,9 @@
     /// Room for what the core has to have done.
     effects: Vec<Effect>,
     names: u64,
-    payloads: Digest,
+    /// What tells the bodies of a key's tries apart: keyed at random, so that no client can make two agree. A store
+    /// brings its own, and so does the process before this one.
+    pub salt: Salt,
     classes: Vec<Class>,
     gauge_names: Vec<String>,
     draining: bool,
@@ -157,20 +191,29 @@
     /// A hub for these settings.
     pub fn new(tuning: Tuning, seed: u64, bounds: Bounds) -> Hub {
         let classes = classes(&tuning);
-        let Tuning { settings, gauges: gauge_names, round, uwsgi, .. } = tuning;
+        let Tuning { settings, gauges: gauge_names, round, marked, uwsgi, .. } = tuning;
         let names: Vec<Rc<str>> = classes.iter().map(|c| c.name.clone()).collect();
         let worked = classes.iter().any(|c| c.workers_path.is_some());
         let most_result = if worked { uwsgi.most_response } else { jsonrpc::MOST_RESULT };
         let clock = Clock::start();
+        let mut core = Core::new(settings, &names, seed, round, most_result, bounds);
+        core.marked = marked;
         Hub {
             sockets: usize::MAX,
+            limits: Limits::default(),
+            taking: false,
+            superseded: false,
+            predecessor: Predecessor::default(),
+            alone: Nudge::new(),
+            news: Nudge::new(),
+            telling: 0,
             pools: Pools::new(uwsgi.pools(), seed, clock.now()),
-            core: Core::new(settings, &names, seed, round, most_result, bounds),
+            core,
             uwsgi,
             effects: Vec::new(),
             // Not the same on each start: a processor may still run what the last process called so.
             names: RandomState::new().hash_one(seed),
-            payloads: Digest::Here(RandomState::new()),
+            salt: Salt([RandomState::new().hash_one(0), RandomState::new().hash_one(1)]),
             storing: Nudge::new(),
             clock,
             link: Link::new(),
@@ -213,6 +256,7 @@
         }
         self.uwsgi.routes = new.uwsgi.routes;
         self.gauge_names = new.gauges;
+        self.core.marked = new.marked;
         Ok(self.core.retune(new.settings, new.round, &names, &seats))
     }
 
@@ -236,6 +280,9 @@
             let now = self.clock.now();
             self.core.store_note(now).inspect(|note| log(note));
         }
+        if self.core.has_news() {
+            self.news.give();
+        }
         let next = self.core.next_wake();
         if next != self.next_wake {
             self.next_wake = next;
@@ -321,7 +368,7 @@
     pub fn connected(&mut self, front: Front) -> Place {
         self.core.counters.accepted += 1;
         let place = self.places.add(self.clock.now(), front);
-        if self.draining && front == Front::Gateway {
+        if (self.draining || !self.taking) && front == Front::Gateway {
             self.places.send(place.id, jsonrpc::goaway);
         }
         place
@@ -442,16 +489,13 @@
 
     /// What tells the bodies of a key's tries apart.
     fn payload(&self, class: usize, body: &[u8]) -> u64 {
-        match &self.payloads {
-            // By name: a class that is defined anew has another place, and its keys keep their window.
-            Digest::Here(state) => state.hash_one((&self.classes[class].name, body)),
-            Digest::Stored(salt) => salt.digest(&self.classes[class].name, body),
-        }
+        // By name: a class that is defined anew has another place, and its keys keep their window.
+        self.salt.digest(&self.classes[class].name, body)
     }
 
     /// Keyed runs are remembered by a store from now on, which has brought these keys.
     pub fn remember(&mut self, durable: Durable, found: Vec<Recovered>, salt: Salt) {
-        self.payloads = Digest::Stored(salt);
+        self.salt = salt;
         self.core.remember(durable, found);
     }
 
@@ -585,9 +629,19 @@
         self.pools.place(self.clock.now(), job, key, tried)
     }
 
-    /// So many connections there may be, of the fronts and to the workers together.
-    pub fn bound(&mut self, sockets: usize) {
-        self.sockets = sockets;
+    /// What the process may take; so many connections there may be, of the fronts and to the workers together.
+    pub fn bound(&mut self, limits: Limits) {
+        self.limits = limits;
+        self.sockets = limits.connections(false);
+    }
+
+    /// Another process of this node is there, and this one may take so much of the processor's memory, and half of all else;
+    /// or it is alone.
+    pub fn share(&mut self, share: Option<f64>) {
+        let bounds = self.limits.bounds(share.is_some());
+        self.sockets = self.limits.connections(share.is_some());
+        self.places.bound(bounds.answers);
+        self.core.share_room(share, bounds);
     }
 
     /// Whether there are more connections than there may be.
@@ -605,6 +659,28 @@
         }
     }
 
+    /// The end of this process, while the node goes on in another one: those who are connected have been told to go over.
+    pub fn superseded(&mut self, left: Micros) {
+        (self.draining, self.superseded) = (true, true);
+        self.leaving.give();
+        self.tell(|core, now| core.superseded(now, left));
+    }
+
+    /// Whether the node goes on in another process after this one.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Nothing new is accepted, as another process does that; or again.
+    pub fn take_clients(&mut self, taking: bool) {
+        self.taking = taking;
+        if !taking {
+            for id in self.places.gateways() {
+                self.places.send(id, jsonrpc::goaway);
+            }
+        }
+    }
+
     /// Whether the node is on its way out.
     pub fn draining(&self) -> bool {
         self.draining
@@ -612,6 +688,8 @@
 
     /// Whether all that was read is answered and written.
     pub fn settled(&self) -> bool {
-        self.core.owed() == 0 && self.places.queued() == 0 && self.core.store_idle()
+        // What its successor does not hear of a keyed run nobody will know.
+        let told = !self.superseded || !(self.core.keyed_runs() || self.core.has_news() || self.telling > 0);
+        self.core.owed() == 0 && self.places.queued() == 0 && self.core.store_idle() && told
     }
 }
--- a/node/src/net/membership.rs
+++ b/node/src/net/membership.rs
@@ -33,7 +33,9 @@
             bound = members;
         }
         // A report that can't be sent is made up for by the next one.
-        if let (Some(socket), Some(address)) = (&socket, members) {
+        // The node stays where another process of it goes on.
+        let say = up || !hub.borrow().is_superseded();
+        if let (Some(socket), Some(address), true) = (&socket, members, say) {
             let _ = socket.send_to(&report(&name, up), address);
         }
         if !up {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod control;
 pub mod front;
+pub mod handover;
 pub mod hub;
 pub mod ledger;
 pub mod link;
--- a/node/src/net/places.rs
+++ b/node/src/net/places.rs
@@ -36,6 +36,21 @@
     Uwsgi,
 }
 
+impl Front {
+    /// What the log and other processes call it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Front::Gateway => "json-rpc",
+            Front::Uwsgi => "uwsgi",
+        }
+    }
+
+    /// The front of this name.
+    pub fn named(word: &str) -> Option<Front> {
+        [Front::Gateway, Front::Uwsgi].into_iter().find(|f| f.word() == word)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Waiting {
     bytes: Vec<u8>,
@@ -127,6 +142,11 @@
         Places { all: HashMap::new(), last: 0, queued: 0, most_queued, lingering: 0, freed: Nudge::new() }
     }
 
+    /// So many bytes may wait to be written to all together from now on.
+    pub fn bound(&mut self, most_queued: usize) {
+        self.most_queued = most_queued;
+    }
+
     /// A connection was accepted, and takes a place until [`Places::remove`].
     pub fn add(&mut self, now: Micros, front: Front) -> Place {
         self.last += 1;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -40,7 +40,7 @@
         "familyInfo": {"below": "tier", "blowup": 8.0, "classCalls": [true, true], "cold": false, "cpus": 6,
             "heapKb": 56166.0, "keyKb": 2.0, "keepaliveMax": 15000000, "passesDeadline": true,
             "say": "threshold", "stopMode": "silent", "gauges": ["core_use", "on_cores", "heap_share", "links"]},
-        "limits": {"maxRetryAfter": 1000000},
+        "limits": {"maxRetryAfter": 1000000}, "clients": {"marksRetry": true},
         "safety": {"answerSlack": 100000, "cold": 18000000, "coldFrom": 0.21, "drainGrace": 2500000,
             "tipAfter": 3000000, "tipMultiple": 5.0}
     })
@@ -124,6 +124,17 @@
         Node { child, config: (file("json"), config), operator: file("toml"), gateways, uwsgi, lines }
     }
 
+    /// Starts a node that does not stay; the code that it ends with, and its log.
+    pub fn fails(parties: Value, env: &[(&str, &str)]) -> (Option<i32>, String) {
+        let file = std::env::temp_dir().join(format!("pipitlever-{}-fails.json", std::process::id()));
+        std::fs::write(&file, configuration(&parties).to_string()).unwrap();
+        let mut command = Command::new(PROGRAM);
+        command.arg("serve").arg("--config").arg(&file).envs(env.iter().copied());
+        let output = command.output().expect("starts");
+        let _ = std::fs::remove_file(&file);
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+
     /// Replaces the configuration by one with these parties, and says so.
     pub fn reload(&mut self, parties: Value) {
         self.config.1.as_object_mut().unwrap().extend(parties.as_object().unwrap().clone());
--- /dev/null
+++ b/node/tests/handover.rs
@@ -0,0 +1,255 @@
+//! One process takes over from another under load, on real sockets. Together the two are one node.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+
+/// A folder that the processes of a node share, and what they are given.
+struct Place {
+    folder: Scratch,
+    listen: Value,
+}
+
+impl Place {
+    fn new(name: &str) -> Place {
+        let folder = Scratch::new(name);
+        std::fs::create_dir_all(&folder.0).unwrap();
+        Place { folder, listen: json!("127.0.0.1:0") }
+    }
+
+    /// One more process, with a processor of its own that has not answered yet.
+    fn start(&mut self) -> (Node, Processor, Door) {
+        let processor = Processor::new();
+        let config = json!({"processor": processor.address().to_string(), "control": "127.0.0.1:0",
+            "listen": self.listen, "stop_ms": 5000});
+        let tmp = self.folder.0.to_str().unwrap().to_owned();
+        let node = Node::start_with(Path::new(PROGRAM), config, None, &[("TMPDIR", &tmp)]);
+        self.listen = json!(node.gateways.to_string());
+        let door = node.door();
+        (node, processor, door)
+    }
+
+    /// The first process, serving.
+    fn first(&mut self) -> (Node, Processor, Door) {
+        let (node, mut processor, door) = self.start();
+        processor.up();
+        node.ready();
+        (node, processor, door)
+    }
+
+    /// One that takes over.
+    fn next(&mut self) -> (Node, Processor, Door) {
+        let (node, mut processor, door) = self.start();
+        assert_eq!(door.call("GET /status").0, 503, "not before it serves");
+        processor.up();
+        node.line("handover: taken over");
+        assert_eq!(door.call("GET /status").0, 200);
+        (node, processor, door)
+    }
+
+    fn socket(&self) -> PathBuf {
+        let name = self.listen.as_str().unwrap().replace(':', "-");
+        self.folder.0.join(format!("pipitlever-{name}.sock"))
+    }
+}
+
+fn served(answer: &Value) -> &str {
+    answer["result"]["doc"].as_str().unwrap_or_else(|| panic!("not served: {answer}"))
+}
+
+fn code(answer: &Value) -> i64 {
+    answer["error"]["code"].as_i64().unwrap_or_else(|| panic!("no error: {answer}"))
+}
+
+#[test]
+fn a_repeat_at_either_process_gets_the_first_runs_result() {
+    let mut place = Place::new("either");
+    let (mut old, mut before, _) = place.first();
+    let mut early = old.ready();
+    early.send("swap-confirm", work(9000, Some("ended"), b"ended"));
+    let (ended, _) = before.command();
+    before.complete(&ended[1], "fine", b"result 1");
+    assert_eq!(served(&early.receive()), base64(b"result 1"));
+    early.send("swap-confirm", work(9000, Some("open"), b"open"));
+    let (open, _) = before.command();
+
+    let (new, mut after, door) = place.next();
+    assert_eq!(early.receive()["method"], "goaway");
+    // The node's address is the same, and nobody is turned away at it.
+    assert_eq!(new.gateways, old.gateways);
+    let mut late = new.gateway();
+    late.send("swap-confirm", work(9000, Some("ended"), b"ended"));
+    assert_eq!(served(&late.receive()), base64(b"result 1"));
+    // Its key with another body is told apart in the new process, too.
+    late.send("swap-confirm", work(9000, Some("ended"), b"other"));
+    assert_eq!(code(&late.receive()), -32602);
+    let repeat = late.send("swap-confirm", work(9000, Some("open"), b"open"));
+    // A key of the new process alone: at the old one its first try is refused, a further one may have run.
+    late.send("swap-confirm", work(9000, Some("new"), b"new"));
+    let (run, body) = after.command();
+    assert_eq!(body, b"new", "the open one is not run again");
+    let mut further = work(9000, Some("new"), b"new");
+    early.send("swap-confirm", further.clone());
+    assert_eq!(code(&early.receive()), -32000);
+    further["ref"] = json!("00000000000000ff");
+    further["dup"] = json!(1);
+    early.send("swap-confirm", further);
+    assert_ne!(code(&early.receive()), -32000, "it may have run");
+
+    // SIGTERM is not the node's end: it stays healthy, and what runs comes home.
+    old.signal("-TERM");
+    old.line("leaving: ");
+    early.send("alive", json!({}));
+    assert_eq!(early.receive()["result"]["healthy"], true);
+    before.complete(&open[1], "fine", b"result 2");
+    assert_eq!(served(&early.receive()), base64(b"result 2"));
+    let answer = late.receive();
+    assert_eq!((&answer["id"], served(&answer)), (&json!(repeat), &*base64(b"result 2")));
+    after.complete(&run[1], "fine", b"result 3");
+    assert_eq!(served(&late.receive()), base64(b"result 3"));
+    assert_eq!(old.wait().code(), Some(0));
+    new.line("handover: the process before this one has ended");
+    assert_eq!(door.figure("operations.swap-confirm.relayed"), Some(1));
+}
+
+#[test]
+fn a_run_whose_end_its_process_did_not_see_fails_its_repeats() {
+    let mut place = Place::new("unknown");
+    let (mut old, mut before, _) = place.first();
+    let mut early = old.ready();
+    early.send("swap-confirm", work(9000, Some("open"), b"open"));
+    before.command();
+    let (new, _after, _) = place.next();
+    let mut late = new.gateway();
+    late.send("swap-confirm", work(9000, Some("open"), b"open"));
+    old.signal("-KILL");
+    old.wait();
+    assert_ne!(code(&late.receive()), -32000, "it may have run");
+    late.send("swap-confirm", work(9000, Some("open"), b"open"));
+    assert_ne!(code(&late.receive()), -32000);
+}
+
+#[test]
+fn a_successor_that_dies_before_its_yes_changes_nothing() {
+    let mut place = Place::new("before-yes");
+    let (old, mut before, door) = place.first();
+    let mut gateway = old.ready();
+    let (mut new, ..) = place.start();
+    old.line("handover: a process has come");
+    new.signal("-KILL");
+    new.wait();
+    old.line("handover: not done, this process serves on");
+    gateway.send("swap-confirm", work(9000, Some("k"), b"body"));
+    let (words, _) = before.command();
+    before.complete(&words[1], "fine", b"result");
+    assert_eq!(served(&gateway.receive()), base64(b"result"));
+    let mut other = old.gateway();
+    other.send("swap-confirm", work(9000, Some("k"), b"body"));
+    assert_eq!(served(&other.receive()), base64(b"result"));
+    assert_eq!(door.call("GET /status").0, 200);
+}
+
+#[test]
+fn after_its_successor_died_the_old_process_serves_but_runs_no_key_that_may_have_run() {
+    let mut place = Place::new("after-yes");
+    let (old, mut before, _) = place.first();
+    old.ready();
+    let (mut new, mut after, _) = place.next();
+    let mut late = new.gateway();
+    late.send("swap-confirm", work(9000, Some("lost"), b"body"));
+    after.command();
+    new.signal("-KILL");
+    new.wait();
+    old.line("handover: the process that took over is gone");
+    let mut gateway = old.ready();
+    let mut further = work(9000, Some("lost"), b"body");
+    further["dup"] = json!(1);
+    gateway.send("swap-confirm", further);
+    assert_ne!(code(&gateway.receive()), -32000);
+    gateway.send("rota-view", work(9000, None, b"view"));
+    let (words, body) = before.command();
+    assert_eq!(body, b"view", "no swap was run");
+    before.complete(&words[1], "fine", b"viewed");
+    assert_eq!(served(&gateway.receive()), base64(b"viewed"));
+}
+
+#[test]
+fn a_predecessor_that_dies_in_between_leaves_a_node_that_doubts_keys() {
+    let mut place = Place::new("in-between");
+    let (mut old, mut before, _) = place.first();
+    let mut early = old.ready();
+    early.send("swap-confirm", work(9000, Some("lost"), b"body"));
+    before.command();
+    let (new, mut after, _) = place.start();
+    old.line("handover: a process has come");
+    old.signal("-KILL");
+    old.wait();
+    new.line("handover: the process before this one died");
+    after.up();
+    let mut gateway = new.ready();
+    let mut further = work(9000, Some("lost"), b"body");
+    further["dup"] = json!(1);
+    gateway.send("swap-confirm", further);
+    assert_ne!(code(&gateway.receive()), -32000);
+    gateway.send("rota-view", work(9000, None, b"view"));
+    assert_eq!(after.command().1, b"view", "no swap was run");
+}
+
+#[test]
+fn one_replacement_follows_another() {
+    let mut place = Place::new("twice");
+    let (mut first, mut processor, _) = place.first();
+    let mut gateway = first.ready();
+    gateway.send("swap-confirm", work(9000, Some("k"), b"body"));
+    let (words, _) = processor.command();
+    processor.complete(&words[1], "fine", b"result");
+    gateway.receive();
+    let (mut second, _processor, _) = place.next();
+    first.signal("-TERM");
+    let (third, _processor, _) = place.next();
+    second.signal("-TERM");
+    assert_eq!(first.wait().code(), Some(0));
+    assert_eq!(second.wait().code(), Some(0));
+    let mut gateway = third.ready();
+    gateway.send("swap-confirm", work(9000, Some("k"), b"body"));
+    assert_eq!(served(&gateway.receive()), base64(b"result"), "over two replacements");
+}
+
+#[test]
+fn what_a_crash_leaves_and_who_speaks_otherwise_stop_nobody() {
+    let mut place = Place::new("strangers");
+    let (mut old, _before, _) = place.first();
+    let mut gateway = old.ready();
+    for words in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"plhand\x07\x00", b"plhand\x01\x00\xff\xff\xff\xff", b""] {
+        let mut stream = UnixStream::connect(place.socket()).unwrap();
+        stream.write_all(words).unwrap();
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).unwrap();
+        assert!(answer.starts_with(b"plhand\x01\x00"), "{answer:?}");
+        gateway.send("alive", json!({}));
+        assert_eq!(gateway.receive()["result"]["healthy"], true);
+    }
+    // Killed, it leaves its socket behind, where nobody listens.
+    old.signal("-KILL");
+    old.wait();
+    assert!(place.socket().exists());
+    let (node, _processor, _) = place.first();
+    drop(node);
+    // Somebody who is no node of this version: it can't be taken over from, and is not harmed.
+    std::fs::remove_file(place.socket()).unwrap();
+    let stranger = UnixListener::bind(place.socket()).unwrap();
+    std::thread::spawn(move || {
+        let mut stream = stranger.accept().unwrap().0;
+        stream.write_all(b"plhand\x09\x00").unwrap();
+        let _ = stream.read(&mut [0; 64]);
+    });
+    let config = json!({"listen": place.listen, "processor": nobody().to_string()});
+    let (code, log) = Node::fails(config, &[("TMPDIR", place.folder.0.to_str().unwrap())]);
+    assert!(code == Some(1) && log.contains("it speaks version 9, this is 1"), "{code:?} {log}");
+}
--- a/reactor/src/socket.rs
+++ b/reactor/src/socket.rs
@@ -1,14 +1,19 @@
 //! Sockets.
 
 use crate::{Source, Way, REACTOR};
-use rustix::fd::AsFd;
+use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::Errno;
-use rustix::net::{connect, ipproto, socket_with, AddressFamily, SocketFlags, SocketType};
+use rustix::net::{
+    connect, ipproto, recvmsg, sendmsg, socket_with, AddressFamily, RecvAncillaryBuffer,
+    RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage, SendFlags, SocketFlags,
+    SocketType,
+};
 use std::future::poll_fn;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read, Write};
 use std::marker::PhantomData;
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::rc::Rc;
 
 /// A socket that tasks of this thread wait on. One task may read while one writes.
@@ -120,7 +125,11 @@
 impl Async<TcpListener> {
     /// Listens.
     pub fn bind(at: SocketAddr) -> io::Result<Async<TcpListener>> {
-        let listener = TcpListener::bind(at)?;
+        Async::<TcpListener>::new(TcpListener::bind(at)?)
+    }
+
+    /// Takes over a socket that listens.
+    pub fn new(listener: TcpListener) -> io::Result<Async<TcpListener>> {
         listener.set_nonblocking(true)?;
         Async::register(listener, false)
     }
@@ -131,12 +140,61 @@
     }
 }
 
+/// The most descriptors that one message carries.
+const MOST_PASSED: usize = 8;
+
 impl Async<UnixStream> {
     /// Takes over a stream.
     pub fn new(stream: UnixStream) -> io::Result<Async<UnixStream>> {
         stream.set_nonblocking(true)?;
         Async::register(stream, true)
     }
+
+    /// Writes some of the bytes, and passes these descriptors along with the first of them; how many bytes.
+    pub async fn send_with(&self, bytes: &[u8], passed: &[BorrowedFd<'_>]) -> io::Result<usize> {
+        if passed.len() > MOST_PASSED {
+            return Err(ErrorKind::InvalidInput.into());
+        }
+        self.attempt(Way::Out, |stream| {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_PASSED))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            if !control.push(SendAncillaryMessage::ScmRights(passed)) {
+                return Err(ErrorKind::InvalidInput.into());
+            }
+            Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut control, SendFlags::NOSIGNAL)?)
+        })
+        .await
+    }
+
+    /// Bytes read, none at the end of the stream, and the descriptors that came along with them.
+    pub async fn receive_with(&self, bytes: &mut [u8], passed: &mut Vec<OwnedFd>) -> io::Result<usize> {
+        self.attempt(Way::In, |stream| {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_PASSED))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let flags = RecvFlags::CMSG_CLOEXEC;
+            let received = recvmsg(stream, &mut [IoSliceMut::new(bytes)], &mut control, flags)?;
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(descriptors) = message {
+                    passed.extend(descriptors);
+                }
+            }
+            Ok(received.bytes)
+        })
+        .await
+    }
+}
+
+impl Async<UnixListener> {
+    /// Takes over a socket that listens.
+    pub fn new(listener: UnixListener) -> io::Result<Async<UnixListener>> {
+        listener.set_nonblocking(true)?;
+        Async::register(listener, false)
+    }
+
+    /// The next connection.
+    pub async fn accept(&self) -> io::Result<UnixStream> {
+        self.attempt(Way::In, |listener| listener.accept()).await.map(|(stream, _)| stream)
+    }
 }
 
 impl<T: AsFd> Drop for Async<T> {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -69,6 +69,12 @@
     upstreams: f64,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Clients {
+    marks_retry: bool,
+}
+
 #[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Limits {
@@ -94,6 +100,8 @@
     categories: Vec<Category>,
     family_info: FamilyInfo,
     #[serde(default)]
+    clients: Clients,
+    #[serde(default)]
     limits: Limits,
     #[serde(default)]
     over_share_worth: f64,
@@ -133,6 +141,11 @@
         self.round
     }
 
+    /// Whether each further try is marked as one.
+    pub fn marks_retry(&self) -> bool {
+        self.clients.marks_retry
+    }
+
     /// Whether requests tell how long their caller still waits.
     pub fn passes_deadline(&self) -> bool {
         self.family_info.passes_deadline
