Try every order of handover steps, tries, ends and deaths at small size

A key is begun once at most, no further try is turned away after that, each try is answered once, what never began is run where somebody waits, and a process whose successor never served doubts nothing.

It has found no fault in the code.

--- /dev/null
+++ b/node/src/core/interleavings.rs
@@ -0,0 +1,336 @@
+//! Two processes of one node and the tries of one key, in every order at small size: steps of the handover, ends of runs, callers that
+//! leave, and the death of either process at any point. The key is run once at most, no further try of it is turned away after
+//! that, and each try that a process has read is answered once while that process lives.
+
+use super::tests::{busy, core, incoming};
+use super::*;
+use pipitlever_handover::message::Message;
+use pipitlever_handover::predecessor::{self, Predecessor};
+use pipitlever_handover::successor::{self, Lost, Successor};
+
+const SECOND: Micros = 1_000_000;
+/// Tries of the key, one after the other; the first has no mark.
+const TRIES: u64 = 3;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    /// The next try comes, to the old process or the new one.
+    TryOld,
+    TryNew,
+    /// The oldest run ends well.
+    EndOld,
+    EndNew,
+    /// The caller of the oldest try at the old process leaves.
+    Gone,
+    /// The new process is ready.
+    Ready,
+    /// The old one says the next thing, or hears it; the new one hears it.
+    Say,
+    HearOld,
+    HearNew,
+    DieOld,
+    DieNew,
+}
+
+const ALL: [Step; 11] = [
+    Step::TryOld,
+    Step::TryNew,
+    Step::EndOld,
+    Step::EndNew,
+    Step::Gone,
+    Step::Ready,
+    Step::Say,
+    Step::HearOld,
+    Step::HearNew,
+    Step::DieOld,
+    Step::DieNew,
+];
+
+/// One process, with what came of it.
+struct Process {
+    core: Core,
+    alive: bool,
+    running: Vec<Reference>,
+    /// Tries that it has read, with the answers that they got.
+    read: Vec<(Reference, Vec<Answer>)>,
+    gone: Vec<Reference>,
+}
+
+impl Process {
+    fn new(core: Core) -> Process {
+        Process { core, alive: true, running: Vec::new(), read: Vec::new(), gone: Vec::new() }
+    }
+}
+
+struct World {
+    now: Micros,
+    old: Process,
+    new: Process,
+    predecessor: Predecessor,
+    successor: Successor,
+    to_old: VecDeque<Message>,
+    to_new: VecDeque<Message>,
+    ended: bool,
+    /// The old process has seen the end of the connection.
+    parted: bool,
+    tries: u64,
+    begun: u64,
+    /// Tries that came after the run had begun.
+    late: Vec<Reference>,
+}
+
+impl World {
+    /// The new process has been welcomed. With `held` the old one's cores are taken up, so that the key waits there.
+    fn new(held: bool) -> World {
+        let mut old = core();
+        old.marked = true;
+        if held {
+            busy(&mut old);
+        }
+        let mut new = core();
+        new.marked = true;
+        let (mut predecessor, mut successor) = (Predecessor::default(), Successor::greeting());
+        predecessor.met();
+        let welcome =
+            pipitlever_handover::message::Welcome { name: "n".into(), listening: vec![], salt: [0; 2] };
+        successor.heard(Message::Welcome(welcome));
+        World {
+            now: SECOND,
+            old: Process::new(old),
+            new: Process::new(new),
+            predecessor,
+            successor,
+            to_old: VecDeque::new(),
+            to_new: VecDeque::new(),
+            ended: false,
+            parted: false,
+            tries: 0,
+            begun: 0,
+            late: Vec::new(),
+        }
+    }
+
+    fn serves(&self) -> bool {
+        matches!(self.successor.stage(), successor::Stage::Serving | successor::Stage::Alone)
+    }
+
+    fn possible(&self, step: Step) -> bool {
+        let both = self.old.alive && self.new.alive;
+        match step {
+            Step::TryOld => self.old.alive && self.tries < TRIES,
+            Step::TryNew => self.new.alive && self.serves() && self.tries < TRIES,
+            Step::EndOld => self.old.alive && !self.old.running.is_empty(),
+            Step::EndNew => self.new.alive && !self.new.running.is_empty(),
+            Step::Gone => self.old.alive && self.old.gone.is_empty() && !self.old.read.is_empty(),
+            Step::Ready => self.new.alive && self.successor.stage() == successor::Stage::Preparing,
+            Step::Say => {
+                let asked = matches!(
+                    self.predecessor.stage(),
+                    predecessor::Stage::Frozen | predecessor::Stage::Yielded
+                );
+                both && asked && (self.old.core.has_news() || !self.ended)
+            }
+            // What was said before a death is heard after it, and then the death.
+            Step::HearOld => self.old.alive && (!self.to_old.is_empty() || (!self.new.alive && !self.parted)),
+            Step::HearNew => {
+                let parted = self.successor.stage() == successor::Stage::Alone;
+                self.new.alive && (!self.to_new.is_empty() || (!self.old.alive && !parted))
+            }
+            // A third process is another story.
+            Step::DieOld | Step::DieNew => both,
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        self.now += 1000;
+        let now = self.now;
+        match step {
+            Step::TryOld | Step::TryNew => {
+                self.tries += 1;
+                let reference = self.tries;
+                if self.begun > 0 {
+                    self.late.push(reference);
+                }
+                let at = if step == Step::TryOld { &mut self.old } else { &mut self.new };
+                at.read.push((reference, Vec::new()));
+                let retry = reference > 1;
+                at.core.arrived(now, Incoming { retry, ..incoming(reference, now, Some("k")) });
+            }
+            Step::EndOld | Step::EndNew => {
+                let at = if step == Step::EndOld { &mut self.old } else { &mut self.new };
+                let reference = at.running.remove(0);
+                at.core.run_ended(now, reference, super::End::Fine, 10, Rc::from(*b"result"));
+            }
+            Step::Gone => {
+                let reference = self.old.read[0].0;
+                self.old.gone.push(reference);
+                self.old.core.gone(now, reference);
+            }
+            Step::Ready => {
+                assert!(self.successor.ready());
+                self.to_old.push_back(Message::Freeze);
+            }
+            Step::Say => match self.old.core.next_news(0) {
+                Some(message) => self.to_new.push_back(message),
+                None => {
+                    self.ended = true;
+                    self.to_new.push_back(Message::End { standby: false, share: 0.5 });
+                }
+            },
+            Step::HearOld => match self.to_old.pop_front() {
+                Some(message) => match self.predecessor.heard(&message) {
+                    predecessor::Act::Freeze => self.old.core.freeze(),
+                    act => assert_eq!(act, predecessor::Act::Yield),
+                },
+                None => {
+                    self.parted = true;
+                    for act in self.predecessor.lost() {
+                        match act {
+                            predecessor::Act::Thaw => self.old.core.thaw(),
+                            predecessor::Act::Resume => self.old.core.doubt_keys(now),
+                            _ => {}
+                        }
+                    }
+                }
+            },
+            Step::HearNew => match self.to_new.pop_front() {
+                Some(message) => match self.successor.heard(message) {
+                    successor::Act::Enter(key) => {
+                        let until = key.until;
+                        self.new.core.enter(now, key, until);
+                    }
+                    successor::Act::Free(key) => self.new.core.freed(now, &key),
+                    act => {
+                        assert!(matches!(act, successor::Act::Serve { .. }), "{act:?}");
+                        self.to_old.push_back(Message::Taken);
+                    }
+                },
+                None => {
+                    if self.successor.lost() != Lost::Settled {
+                        self.new.core.doubt_keys(now);
+                    }
+                    self.new.core.orphaned(now);
+                }
+            },
+            Step::DieOld => self.old.alive = false,
+            Step::DieNew => self.new.alive = false,
+        }
+        self.note();
+    }
+
+    fn note(&mut self) {
+        for at in [&mut self.old, &mut self.new] {
+            for effect in at.core.effects() {
+                match effect {
+                    Effect::Begin(reference, 1, ..) => {
+                        self.begun += 1;
+                        at.running.push(reference);
+                    }
+                    Effect::Answer(origin, answer) => {
+                        if let Some(read) = at.read.iter_mut().find(|r| r.0 == origin.number) {
+                            read.1.push(answer);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// What must hold at any time.
+    fn check(&self) {
+        assert!(self.begun <= 1, "run {} times", self.begun);
+        for (reference, answers) in self.old.read.iter().chain(&self.new.read) {
+            assert!(answers.len() <= 1, "{reference} was answered {answers:?}");
+            for answer in answers {
+                match answer {
+                    Answer::Served(result) => assert!(self.begun == 1 && **result == *b"result"),
+                    Answer::Refused { .. } => {
+                        assert!(!self.late.contains(reference), "{reference} was turned away after the run");
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Lets all end that may still end, without a further try or death: each try is answered then.
+    fn settle(mut self) {
+        while let Some(step) = [Step::HearOld, Step::HearNew, Step::Say, Step::EndOld, Step::EndNew]
+            .into_iter()
+            .find(|s| self.possible(*s))
+        {
+            self.take(step);
+            self.check();
+        }
+        // What never began at the old process is run at the new one, if somebody still waits for it there.
+        let left = self.old.read.iter().all(|(reference, _)| self.old.gone.contains(reference));
+        if self.old.alive && self.new.alive && left && !self.new.read.is_empty() {
+            assert_eq!(self.begun, 1, "nobody runs it");
+        }
+        // Where the new process never served, the old one is what it was.
+        if self.old.alive && !self.new.alive && !self.ended {
+            assert!(self.old.core.doubts(self.now, true).is_none(), "it doubts for nothing");
+        }
+        for _ in 0..8 {
+            self.now += SECOND;
+            for at in [&mut self.old, &mut self.new] {
+                at.core.wake(self.now);
+            }
+            self.note();
+        }
+        self.check();
+        for at in [&self.old, &self.new].into_iter().filter(|at| at.alive) {
+            for (reference, answers) in &at.read {
+                let owed = usize::from(!at.gone.contains(reference));
+                assert!(answers.len() >= owed, "{reference} has no answer");
+            }
+        }
+    }
+}
+
+fn play(held: bool, steps: &[Step]) -> World {
+    let mut world = World::new(held);
+    world.note();
+    for step in steps {
+        world.take(*step);
+        world.check();
+    }
+    world
+}
+
+/// Goes on from these steps in every way; how many ways there were.
+fn explore(held: bool, steps: &mut Vec<Step>, left: usize) -> u64 {
+    let world = std::panic::catch_unwind(|| play(held, steps));
+    let world = world.unwrap_or_else(|_| panic!("held {held}: {steps:?}"));
+    let next: Vec<Step> = ALL.into_iter().filter(|s| world.possible(*s)).collect();
+    if left == 0 || next.is_empty() {
+        let settled = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| world.settle()));
+        settled.unwrap_or_else(|_| panic!("held {held}, settled after: {steps:?}"));
+        return 1;
+    }
+    drop(world);
+    let mut ways = 0;
+    for step in next {
+        steps.push(step);
+        ways += explore(held, steps, left - 1);
+        steps.pop();
+    }
+    ways
+}
+
+#[test]
+fn no_order_of_steps_and_deaths_runs_a_key_twice() {
+    // From the start, and from the points where the authority is about to pass on.
+    let asked = [Step::Ready, Step::HearOld];
+    let told = [Step::TryOld, Step::Ready, Step::HearOld, Step::Say, Step::Say, Step::HearNew];
+    let ways = [
+        explore(false, &mut vec![], 7),
+        explore(true, &mut vec![], 7),
+        explore(false, &mut asked.to_vec(), 7),
+        explore(true, &mut asked.to_vec(), 7),
+        explore(false, &mut told.to_vec(), 7),
+        explore(true, &mut told.to_vec(), 7),
+    ];
+    assert!(ways.iter().sum::<u64>() > 20_000, "{ways:?}");
+}
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -1018,5 +1018,7 @@
     }
 }
 
+#[cfg(test)]
+mod interleavings;
 #[cfg(test)]
 mod tests;
--- a/node/src/core/tests.rs
+++ b/node/src/core/tests.rs
@@ -4,7 +4,7 @@
 
 const SECOND: Micros = 1_000_000;
 
-fn core() -> Core {
+pub fn core() -> Core {
     let class = |idempotency| Class {
         aim: 2 * SECOND,
         deadline: 7 * SECOND,
@@ -26,7 +26,7 @@
 }
 
 /// A request that arrives now and is waited for five seconds.
-fn incoming(reference: Reference, now: Micros, key: Option<&str>) -> Incoming {
+pub fn incoming(reference: Reference, now: Micros, key: Option<&str>) -> Incoming {
     Incoming {
         reference,
         sender: None,
@@ -55,7 +55,7 @@
 }
 
 /// Fills the cores, so that what comes next is held.
-fn busy(core: &mut Core) {
+pub fn busy(core: &mut Core) {
     let mut reference = 1000;
     loop {
         core.arrived(SECOND, incoming(reference, SECOND, None));
