Serve what still comes until the grace of a drain is over

Ruled out: the crowd of idle connections (625 crowded out, none of them in use; figures and calls never late), memory (5 of 24 MB). Cause: for four seconds callers who had not heard of it met a closed door, and before that the level 1.0, which sends all away who go by it. At fault: life/serve.rs, drain, and the level of Controller::leave as it was told at once.

Change: the fronts close, goaway and that level are told a tenth of a second before the grace (2.5 s here) ends; health is bad at once, as before. A start waits for an address that a leaving process still has.

All tests pass; a_drain_serves_who_comes_within_its_grace fails without it.

--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -351,6 +351,11 @@
         self.step(now, &[]);
     }
 
+    /// What arrives so long after the notice to leave may still be run.
+    pub fn drain_grace(&self) -> Micros {
+        self.settings.safety.drain_grace.max(0)
+    }
+
     /// The longest deadline of the classes in force.
     pub fn longest_deadline(&self) -> Micros {
         let classes = self.classes.in_force().into_iter().map(|at| self.settings.classes[at].deadline);
@@ -415,6 +420,11 @@
         self.level
     }
 
+    /// Has another level told with every answer; the one before.
+    pub fn tell_level(&mut self, level: Option<f64>) -> Option<f64> {
+        std::mem::replace(&mut self.level, level)
+    }
+
     /// What health checks hear.
     pub fn healthy(&self) -> bool {
         self.healthy && !self.standby
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -14,7 +14,8 @@
 use futures_lite::future;
 use pipitlever_reactor::{block_on, Async, Timer};
 use std::cell::RefCell;
-use std::net::TcpListener;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -25,11 +26,16 @@
 const SPARE_MS: u64 = 150;
 /// After `goaway`, requests that were already on their way are waited for this long, in milliseconds.
 const CROSSING_MS: u64 = 500;
+/// The fronts close this long before what arrives may no longer be run, in milliseconds: the notice may have been heard late.
+const LATE_MS: u64 = 100;
 /// A process that another one has replaced is killed so long after SIGTERM, beside the longest deadline, and of that no more than
 /// this counts, in milliseconds (DAYS, "Replacing the process").
 const SUPERSEDED_MS: u64 = 700;
 const SUPERSEDED_MOST_MS: u64 = 3000;
 
+/// A process on its way out listens until the grace of its drain is over; its address is waited for so long, in milliseconds.
+const LEAVING_MS: u64 = 5000;
+
 /// Runs one node to its end. `read` reads the configuration anew.
 pub fn serve(config: Config, read: impl Fn() -> Result<Config, String> + 'static) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
@@ -61,7 +67,7 @@
             sockets.push(passed.swap_remove(at));
             continue;
         }
-        let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        let bound = bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
         let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
         sockets.push((front, at, bound));
     }
@@ -162,6 +168,19 @@
     Ok(())
 }
 
+/// Listens at an address, once a process that is on its way out has left it.
+async fn bind(at: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    let until = ahead(LEAVING_MS);
+    loop {
+        match Async::<TcpListener>::bind(at) {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                Timer::at(ahead(25)).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 fn print_counters(hub: &Shared) {
     let hub = hub.borrow();
     let (requests, running, keys) = hub.core.sizes();
@@ -177,13 +196,18 @@
 /// Leaves: nothing new is let in, all that was read is answered, and the end comes before the kill.
 async fn drain(hub: &Shared, fronts: &Fronts, stop_ms: u64) {
     let stop = ahead(stop_ms.saturating_sub(SPARE_MS));
-    let crossed = ahead(CROSSING_MS).min(stop);
+    let grace_ms = hub.borrow().core.drain_grace() as u64 / 1000;
+    let close = ahead(grace_ms.saturating_sub(LATE_MS).min(stop_ms / 2));
     log(&format!("draining: stop_ms={stop_ms} owed={}", hub.borrow().core.owed()));
     // The module keeps two ticks back from this for its last answers.
     hub.borrow_mut().drain((stop_ms.saturating_sub(SPARE_MS) * 1000) as i64);
-    fronts.leave();
     hub.borrow().alone.give();
-    Timer::at(crossed).await;
+    // Callers learn of it late, and until then send to nobody else what is sent here: it is served as usual for as long as
+    // it may be run.
+    Timer::at(close).await;
+    hub.borrow_mut().close();
+    fronts.leave();
+    Timer::at(ahead(CROSSING_MS).min(stop)).await;
     answered(hub, stop).await;
 }
 
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -184,6 +184,9 @@
     classes: Vec<Class>,
     gauge_names: Vec<String>,
     draining: bool,
+    closing: bool,
+    /// The level that the module wants told on the way out.
+    last_level: Option<f64>,
     next_wake: Option<Micros>,
 }
 
@@ -227,6 +230,8 @@
             classes,
             gauge_names,
             draining: false,
+            closing: false,
+            last_level: None,
             next_wake: None,
         }
     }
@@ -368,7 +373,7 @@
     pub fn connected(&mut self, front: Front) -> Place {
         self.core.counters.accepted += 1;
         let place = self.places.add(self.clock.now(), front);
-        if (self.draining || !self.taking) && front == Front::Gateway {
+        if (self.closing || !self.taking) && front == Front::Gateway {
             self.places.send(place.id, jsonrpc::goaway);
         }
         place
@@ -649,11 +654,20 @@
         self.places.taken() + self.pools.in_flight() > self.sockets
     }
 
-    /// The notice to leave. From now on no gateway is to send anything new.
+    /// The notice to leave. What still comes is served until [`Hub::close`].
     pub fn drain(&mut self, left: Micros) {
         self.draining = true;
         self.leaving.give();
+        // The level that keeps callers away is told once nothing new is taken.
+        let before = self.core.level();
         self.tell(|core, now| core.leaving(now, left));
+        self.last_level = self.core.tell_level(before);
+    }
+
+    /// From now on no gateway is to send anything new.
+    pub fn close(&mut self) {
+        self.closing = true;
+        self.core.tell_level(self.last_level);
         for id in self.places.gateways() {
             self.places.send(id, jsonrpc::goaway);
         }
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -328,6 +328,27 @@
     assert!(start.elapsed() < Duration::from_millis(4900), "{:?}", start.elapsed());
 }
 
+/// Callers hear of a drain late: a node that shut its door at once had its whole traffic refused for seconds.
+#[test]
+fn a_drain_serves_who_comes_within_its_grace() {
+    let (node, mut processor, _gateway) = pair(json!({}));
+    node.signal("-TERM");
+    node.line("draining: ");
+    let mut late = node.gateway();
+    late.send("alive", json!({}));
+    assert_eq!(late.receive()["result"]["healthy"], false);
+    late.send("swap-confirm", work(2000, Some("late"), b"body"));
+    let (id, _) = processor.begin();
+    processor.complete(&id, "fine", b"served");
+    let answer = late.receive();
+    assert_eq!(answer["result"]["doc"], base64(b"served"));
+    // Nor are those sent away who go by the level.
+    assert_ne!(answer["result"]["pressure"], 1.0, "{answer}");
+    assert_eq!(late.receive()["method"], "goaway");
+    late.send("alive", json!({}));
+    assert_eq!(late.receive()["result"]["pressure"], 1.0);
+}
+
 #[test]
 fn a_drain_fails_what_runs_too_long_before_the_kill() {
     let (mut node, mut processor, mut gateway) = pair(json!({"stop_ms": 1000}));
