Let the line for calls above a tier be a tenth of the aim, not four requests

Ruled out: the replacement (the same before the first one, 36 in n1's second 1), the lower nodes (0 refused), the line to start, memory. At fault: Calls::rate, which gave a tier's gate the rate 0 and so the thresholds 1, 2 and 4 at any speed.

Change: above a tier the rate is that of the calls times SHORT / LONG, the shares of the aim that the first line has already: the whole line for calls is what is too short to hurt, a tenth of the aim.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,6 +47,10 @@
     parked_at: Micros,
 }
 
+/// The share of the aim that a line may take without hurting anybody, and that beyond which nothing joins it.
+const SHORT: f64 = 0.1;
+const LONG: f64 = 0.4;
+
 /// The three modes on the count waiting to start, checked at every change of it (policy P1).
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Modes {
@@ -65,9 +69,9 @@
         let drained = rate * aim / 1e6;
         // Where that is a handful chance alone passes it, so the spread of a chance count is added.
         let above = |share: f64| (share * drained + (share * drained).sqrt()).floor();
-        self.abate = above(0.1).max(1.0);
+        self.abate = above(SHORT).max(1.0);
         self.onset = above(0.2).max(self.abate + 1.0);
-        self.discard = (0.4 * drained).floor().max(self.onset + 2.0);
+        self.discard = (LONG * drained).floor().max(self.onset + 2.0);
     }
 
     fn check(&mut self, count: f64) {
@@ -284,15 +288,13 @@
     }
 
     /// Calls a second that the bound allows. A tier's share is not told, and what its window lets through is
-    /// no promise: its gate keeps the shortest line there is.
+    /// no promise: there the whole line is to be one that hurts nobody.
     fn rate(&self, s: &Settings) -> f64 {
         if self.latency.mean == 0.0 {
             return f64::INFINITY;
         }
-        if s.below == Below::Tier {
-            return 0.0;
-        }
-        self.limit / self.latency.mean * 1e6
+        let share = if s.below == Below::Tier { SHORT / LONG } else { 1.0 };
+        share * self.limit / self.latency.mean * 1e6
     }
 
     fn ended(&mut self, s: &Settings, now: Micros, took: f64, outcome: Outcome) {
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -109,28 +109,34 @@
     assert!(calling > 20 && plain == 0, "calling {calling} plain {plain}");
 }
 
-/// On a calm day of the fleet test half of the refusals came while four requests waited to start and cores ended one each
-/// eighth of a second: the line for calls, whose shortest discard is four, counted them as if they stood at a call.
-#[test]
-fn a_bunch_that_waits_to_start_is_no_line_for_calls() {
+/// A controller above a tier whose runs end fast and whose calls take so long, after 300 requests with one call each.
+fn above_a_tier(call: Micros) -> (Controller, Micros) {
     let mut s = Settings { below: Below::Tier, memory_kb: 1e6, ..settings() };
     s.classes[2].late_worth = 0.5;
     let mut c = Controller::new(s, 1);
-    // Calls and runs that end fast, so that a tenth of the aim works off a good many.
     let mut now = 0;
     for id in 1..=300 {
         now += 10_000;
         step(&mut c, now, &[Event::Arrived(request(id, 2))]);
         assert_eq!(calls(&step(&mut c, now + 1000, &[Event::NeedsCall(id)])), 1);
-        step(&mut c, now + 2000, &[Event::CallEnded { id, took: 1000, outcome: Outcome::Done }]);
+        step(&mut c, now + 2000, &[Event::CallEnded { id, took: call, outcome: Outcome::Done }]);
         step(&mut c, now + 3000, &[done(id, 3000), ticks(0)]);
     }
+    (c, now + 5000)
+}
+
+/// On a calm day of the fleet test half of the refusals came while four requests waited to start and cores ended one each
+/// eighth of a second: the line for calls, whose shortest discard is four, counted them as if they stood at a call.
+#[test]
+fn a_bunch_that_waits_to_start_is_no_line_for_calls() {
+    // Calls are slow, so that their line is as short as it gets.
+    let (mut c, now) = above_a_tier(2_000_000);
     let abate = c.thresholds().0;
     assert!(abate > 8.0, "{abate}");
     let mut id = 300;
     let mut refusals = || {
         id += 1;
-        refused(&step(&mut c, now + 5000, &[Event::Arrived(request(id, 2))]), id)
+        refused(&step(&mut c, now, &[Event::Arrived(request(id, 2))]), id)
     };
     let running = 4;
     let bunch = running + abate as u64;
@@ -138,3 +144,32 @@
     // Beyond it the shortest line holds: four, and no more.
     assert_eq!((0..20).filter(|_| refusals()).count(), 16);
 }
+
+/// On the days of an upgrade nearly all refusals came while four to twelve requests waited to call below, a few hundredths of a
+/// second at the rate at which calls ended.
+#[test]
+fn a_line_for_fast_calls_is_as_long_as_hurts_nobody() {
+    let refusals = |call| {
+        let (mut c, now) = above_a_tier(call);
+        // Turned away again and again, calls are down to one a core.
+        step(&mut c, now, &[Event::Arrived(request(301, 2))]);
+        step(&mut c, now, &[Event::NeedsCall(301)]);
+        for i in 1..=60 {
+            let busy = Event::CallEnded { id: 301, took: 1000, outcome: Outcome::Busy };
+            step(&mut c, now + i * 2000, &[busy]);
+        }
+        let now = now + 200_000;
+        let mut refusals = 0;
+        for id in 302..=312 {
+            match refused(&step(&mut c, now, &[Event::Arrived(request(id, 2))]), id) {
+                true => refusals += 1,
+                false => drop(step(&mut c, now, &[Event::NeedsCall(id)])),
+            }
+        }
+        // Four calls are in hand; the others wait.
+        assert_eq!((c.view().in_hand, c.view().at_call), (4.0, 12 - refusals));
+        refusals
+    };
+    assert_eq!(refusals(2_000), 0, "eight wait for calls of two milliseconds");
+    assert_eq!(refusals(2_000_000), 4, "four are the shortest line, for calls of two seconds");
+}
