--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -72,6 +72,7 @@
             let c = read()?;
             println!("name={} listen={} classes={}", c.name, c.listen, c.tuning.classes.join(","));
             println!("sockets={} memory_mb={}", c.sockets, c.memory_mb);
+            println!("control={}", c.control.map_or("off".into(), |at| at.to_string()));
             let listen = c.tuning.uwsgi.listen.map_or("off".into(), |at| at.to_string());
             println!(
                 "uwsgi={listen} workers={} routes={}",
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -24,6 +24,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+mod clients;
+mod gateways;
+mod leaving;
+mod notices;
+
 /// The hub as the drivers hold it: one thread, so a cell is enough.
 pub type Shared = Rc<RefCell<Hub>>;
 
@@ -84,9 +89,11 @@
 }
 
 impl Limits {
-    /// Connections that there may be, of the fronts and to the workers together; half beside another process.
+    /// Connections that there may be, of the fronts and to the workers together. Beside another process a half of the
+    /// descriptors is this one's, and what it keeps back is of that.
     pub fn connections(&self, shared: bool) -> usize {
-        (self.sockets.saturating_sub(self.kept_back) / if shared { 2 } else { 1 }).max(8)
+        let sockets = self.sockets / if shared { 2 } else { 1 };
+        sockets.saturating_sub(self.kept_back).max(8)
     }
 
     /// The shares of the memory.
@@ -401,97 +408,11 @@
         self.core.classes.named(name)
     }
 
-    /// A gateway said something.
-    pub fn gateway(&mut self, id: u64, message: Message) {
-        let level = self.core.level();
-        let Some(open) = self.places.open(id) else { return };
-        match message {
-            Message::Work(work) => {
-                let number = work.id;
-                if open >= jsonrpc::MOST_OPEN {
-                    return self.malformed(id, Some(number), Code::Request);
-                }
-                match self.incoming(id, work) {
-                    Ok(incoming) => self.take(incoming),
-                    Err(code) => self.malformed(id, Some(number), code),
-                }
-            }
-            Message::Alive(number) => {
-                self.places.heard(id, self.clock.now());
-                let healthy = self.core.healthy();
-                self.places.send(id, |out| jsonrpc::health(out, number, healthy, level));
-            }
-            Message::Cancel(number) => {
-                if let Some(reference) = self.places.cancelled(Origin { connection: id, number }) {
-                    // No answer is owed, but a caller that only ever takes back would never hear a word.
-                    self.places.send(id, |out| jsonrpc::failed(out, Some(number), Code::Cancelled, level));
-                    self.tell(|core, now| core.gone(now, reference));
-                }
-            }
-            Message::Bad(number, code) => self.malformed(id, number, code),
-        }
-    }
-
     fn take(&mut self, incoming: Incoming) {
         self.places.opened(incoming.origin, self.clock.now(), incoming.reference, incoming.class);
         self.tell(|core, now| core.arrived(now, incoming));
     }
 
-    fn malformed(&mut self, id: u64, number: Option<u64>, code: Code) {
-        self.core.counters.malformed += 1;
-        let level = self.core.level();
-        self.places.send(id, |out| jsonrpc::failed(out, number, code, level));
-        self.places.erred(id);
-    }
-
-    fn incoming(&self, connection: u64, work: Work) -> Result<Incoming, Code> {
-        let class = work.class;
-        let keyed = self.classes[class].keyed;
-        if self.core.knows(work.reference) || (keyed && work.replay.is_none()) {
-            return Err(Code::Params);
-        }
-        let since = self.clock.of_unix((work.since * 1e3) as Micros);
-        // A caller's clock ahead of ours must not stretch the window of its key.
-        let arrived = since.min(self.clock.now());
-        let key = work.replay.clone().filter(|_| keyed);
-        let payload = self.payload(class, &work.body);
-        if key.as_ref().is_some_and(|k| self.core.conflicts(k, arrived, payload)) {
-            return Err(Code::Params);
-        }
-        let body = match &self.classes[class].workers_path {
-            None => work.body,
-            Some(path) => {
-                let length = work.body.len().to_string();
-                let mut vars = vec![
-                    ("REQUEST_METHOD", "POST"),
-                    ("REQUEST_URI", path),
-                    ("PATH_INFO", path),
-                    ("QUERY_STRING", ""),
-                    ("SERVER_PROTOCOL", "HTTP/1.1"),
-                    ("CONTENT_TYPE", "application/octet-stream"),
-                    ("CONTENT_LENGTH", &length),
-                ];
-                vars.extend(work.replay.as_deref().map(|key| ("HTTP_IDEMPOTENCY_KEY", key)));
-                Rc::from(uwsgi::packet(&vars, &work.body).ok_or(Code::Params)?)
-            }
-        };
-        Ok(Incoming {
-            reference: work.reference,
-            sender: work.sender,
-            origin: Origin { connection, number: work.id },
-            class,
-            arrived,
-            due: work.allow.map(|ms| since + (ms * 1e3) as Micros),
-            cost: work.effort.map(|ms| ms * 1e3),
-            memory_kb: work.room,
-            rank: work.class_rank,
-            retry: work.dup,
-            key,
-            body,
-            payload,
-        })
-    }
-
     /// What tells the bodies of a key's tries apart.
     fn payload(&self, class: usize, body: &[u8]) -> u64 {
         // By name: a class that is defined anew has another place, and its keys keep their window.
@@ -504,113 +425,6 @@
         self.core.remember(durable, found);
     }
 
-    /// A uwsgi client's packet is whole, or wrong. What is wrong gets its status and is never run.
-    pub fn uwsgi_packet(&mut self, id: u64, packet: Result<Packet, Status>) {
-        match packet.and_then(|p| self.uwsgi_incoming(id, &p)) {
-            Ok(incoming) => self.take(incoming),
-            Err(status) => {
-                self.core.counters.malformed += 1;
-                self.places.send(id, |out| uwsgi::response(out, status, None, b""));
-                self.places.finish(id);
-            }
-        }
-    }
-
-    fn uwsgi_incoming(&mut self, connection: u64, packet: &Packet) -> Result<Incoming, Status> {
-        let route = self.uwsgi.route(packet.path()?).ok_or(Status::NotFound)?;
-        let class = self.class(&route.class).ok_or(Status::NotFound)?;
-        let Class { keyed, rank, .. } = self.classes[class];
-        let key = packet.key()?.filter(|_| keyed);
-        if keyed && key.is_none() {
-            return Err(Status::BadRequest);
-        }
-        let allow = packet.allow()?.unwrap_or(route.deadline_ms.unwrap_or(self.uwsgi.deadline_ms));
-        let body = match route.backend {
-            Backend::Workers => packet.bytes(),
-            Backend::Processor if packet.body().len() > jsonrpc::MOST_BODY => return Err(Status::TooLarge),
-            Backend::Processor => packet.body(),
-        };
-        let arrived = self.clock.now();
-        // The body alone: how long a client still waits stands in the variables and differs from try to try.
-        let payload = self.payload(class, packet.body());
-        if key.is_some_and(|k| self.core.conflicts(k, arrived, payload)) {
-            return Err(Status::BadRequest);
-        }
-        let (key, body, memory_kb) = (key.map(Rc::from), Rc::from(body), self.uwsgi.room_kb);
-        Ok(Incoming {
-            reference: self.new_name(),
-            sender: None,
-            origin: Origin { connection, number: 1 },
-            class,
-            arrived,
-            due: Some(arrived + (allow * 1000) as Micros),
-            cost: None,
-            memory_kb,
-            rank,
-            retry: false,
-            key,
-            body,
-            payload,
-        })
-    }
-
-    /// A name for a request that came without one (splitmix64 over the node's seed), unlike any in memory.
-    fn new_name(&mut self) -> Reference {
-        loop {
-            self.names = self.names.wrapping_add(0x9e37_79b9_7f4a_7c15);
-            let mut z = self.names;
-            z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-            z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-            z ^= z >> 31;
-            if !self.core.knows(z) {
-                return z;
-            }
-        }
-    }
-
-    /// A link to the processor was set up.
-    pub fn linked(&mut self) {
-        self.core.counters.links += 1;
-    }
-
-    /// The processor said something.
-    pub fn notice(&mut self, notice: Notice) {
-        match notice {
-            Notice::Hi { cold, ms } => {
-                self.link.hi();
-                self.tell(|core, now| core.up(now, now - (ms * 1e3) as Micros, cold));
-            }
-            Notice::Complete { id, end, ms, result } => {
-                let end = match end {
-                    RunEnd::Fine => End::Fine,
-                    RunEnd::Fault => End::Fault,
-                    RunEnd::BrokenOff => End::BrokenOff,
-                    RunEnd::Late => End::NeverRan,
-                };
-                let took = (ms * 1e3) as Micros;
-                self.tell(|core, now| core.run_ended(now, id, end, took, result));
-            }
-            Notice::Ask { id, body } => self.tell(|core, now| core.asked(now, id, body)),
-            Notice::Used { question, gauges } => {
-                let named = |name: &str| {
-                    let at = self.gauge_names.iter().position(|n| n == name)?;
-                    gauges.get(at).filter(|v| v.is_finite())
-                };
-                let gauges = Gauges {
-                    core_use: named("core_use"),
-                    on_cores: named("on_cores"),
-                    memory_use: named("heap_share"),
-                    connections: named("links"),
-                };
-                self.tell(|core, now| core.gauges(now, gauges));
-                self.link.answered(self.clock.now(), question, &mut self.core);
-            }
-            Notice::Reject { start, id } => {
-                self.tell(|core, now| core.rejected(now, id, start));
-            }
-        }
-    }
-
     /// A call ended, one way or another.
     pub fn called(&mut self, reference: Reference, outcome: Outcome, reply: Vec<u8>) {
         self.calls.ended(reference);
@@ -653,57 +467,4 @@
     pub fn crowded(&self) -> bool {
         self.places.taken() + self.pools.in_flight() > self.sockets
     }
-
-    /// The notice to leave. What still comes is served until [`Hub::close`].
-    pub fn drain(&mut self, left: Micros) {
-        self.draining = true;
-        self.leaving.give();
-        // The level that keeps callers away is told once nothing new is taken.
-        let before = self.core.level();
-        self.tell(|core, now| core.leaving(now, left));
-        self.last_level = self.core.tell_level(before);
-    }
-
-    /// From now on no gateway is to send anything new.
-    pub fn close(&mut self) {
-        self.closing = true;
-        self.core.tell_level(self.last_level);
-        for id in self.places.gateways() {
-            self.places.send(id, jsonrpc::goaway);
-        }
-    }
-
-    /// The end of this process, while the node goes on in another one: those who are connected have been told to go over.
-    pub fn superseded(&mut self, left: Micros) {
-        (self.draining, self.superseded) = (true, true);
-        self.leaving.give();
-        self.tell(|core, now| core.superseded(now, left));
-    }
-
-    /// Whether the node goes on in another process after this one.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
-    /// Nothing new is accepted, as another process does that; or again.
-    pub fn take_clients(&mut self, taking: bool) {
-        self.taking = taking;
-        if !taking {
-            for id in self.places.gateways() {
-                self.places.send(id, jsonrpc::goaway);
-            }
-        }
-    }
-
-    /// Whether the node is on its way out.
-    pub fn draining(&self) -> bool {
-        self.draining
-    }
-
-    /// Whether all that was read is answered and written.
-    pub fn settled(&self) -> bool {
-        // What its successor does not hear of a keyed run nobody will know.
-        let told = !self.superseded || !(self.core.keyed_runs() || self.core.has_news() || self.telling > 0);
-        self.core.owed() == 0 && self.places.queued() == 0 && self.core.store_idle() && told
-    }
 }
--- /dev/null
+++ b/node/src/net/hub/gateways.rs
@@ -0,0 +1,91 @@
+//! What gateways say, and requests made of it.
+
+use super::*;
+
+impl Hub {
+    /// A gateway said something.
+    pub fn gateway(&mut self, id: u64, message: Message) {
+        let level = self.core.level();
+        let Some(open) = self.places.open(id) else { return };
+        match message {
+            Message::Work(work) => {
+                let number = work.id;
+                if open >= jsonrpc::MOST_OPEN {
+                    return self.malformed(id, Some(number), Code::Request);
+                }
+                match self.incoming(id, work) {
+                    Ok(incoming) => self.take(incoming),
+                    Err(code) => self.malformed(id, Some(number), code),
+                }
+            }
+            Message::Alive(number) => {
+                self.places.heard(id, self.clock.now());
+                let healthy = self.core.healthy();
+                self.places.send(id, |out| jsonrpc::health(out, number, healthy, level));
+            }
+            Message::Cancel(number) => {
+                if let Some(reference) = self.places.cancelled(Origin { connection: id, number }) {
+                    // No answer is owed, but a caller that only ever takes back would never hear a word.
+                    self.places.send(id, |out| jsonrpc::failed(out, Some(number), Code::Cancelled, level));
+                    self.tell(|core, now| core.gone(now, reference));
+                }
+            }
+            Message::Bad(number, code) => self.malformed(id, number, code),
+        }
+    }
+
+    fn malformed(&mut self, id: u64, number: Option<u64>, code: Code) {
+        self.core.counters.malformed += 1;
+        let level = self.core.level();
+        self.places.send(id, |out| jsonrpc::failed(out, number, code, level));
+        self.places.erred(id);
+    }
+
+    fn incoming(&self, connection: u64, work: Work) -> Result<Incoming, Code> {
+        let class = work.class;
+        let keyed = self.classes[class].keyed;
+        if self.core.knows(work.reference) || (keyed && work.replay.is_none()) {
+            return Err(Code::Params);
+        }
+        let since = self.clock.of_unix((work.since * 1e3) as Micros);
+        // A caller's clock ahead of ours must not stretch the window of its key.
+        let arrived = since.min(self.clock.now());
+        let key = work.replay.clone().filter(|_| keyed);
+        let payload = self.payload(class, &work.body);
+        if key.as_ref().is_some_and(|k| self.core.conflicts(k, arrived, payload)) {
+            return Err(Code::Params);
+        }
+        let body = match &self.classes[class].workers_path {
+            None => work.body,
+            Some(path) => {
+                let length = work.body.len().to_string();
+                let mut vars = vec![
+                    ("REQUEST_METHOD", "POST"),
+                    ("REQUEST_URI", path),
+                    ("PATH_INFO", path),
+                    ("QUERY_STRING", ""),
+                    ("SERVER_PROTOCOL", "HTTP/1.1"),
+                    ("CONTENT_TYPE", "application/octet-stream"),
+                    ("CONTENT_LENGTH", &length),
+                ];
+                vars.extend(work.replay.as_deref().map(|key| ("HTTP_IDEMPOTENCY_KEY", key)));
+                Rc::from(uwsgi::packet(&vars, &work.body).ok_or(Code::Params)?)
+            }
+        };
+        Ok(Incoming {
+            reference: work.reference,
+            sender: work.sender,
+            origin: Origin { connection, number: work.id },
+            class,
+            arrived,
+            due: work.allow.map(|ms| since + (ms * 1e3) as Micros),
+            cost: work.effort.map(|ms| ms * 1e3),
+            memory_kb: work.room,
+            rank: work.class_rank,
+            retry: work.dup,
+            key,
+            body,
+            payload,
+        })
+    }
+}
--- /dev/null
+++ b/node/src/net/hub/leaving.rs
@@ -0,0 +1,58 @@
+//! The ways out: the node's end, and the end of a process whose node goes on.
+
+use super::*;
+
+impl Hub {
+    /// The notice to leave. What still comes is served until [`Hub::close`].
+    pub fn drain(&mut self, left: Micros) {
+        self.draining = true;
+        self.leaving.give();
+        // The level that keeps callers away is told once nothing new is taken.
+        let before = self.core.level();
+        self.tell(|core, now| core.leaving(now, left));
+        self.last_level = self.core.tell_level(before);
+    }
+
+    /// From now on no gateway is to send anything new.
+    pub fn close(&mut self) {
+        self.closing = true;
+        self.core.tell_level(self.last_level);
+        for id in self.places.gateways() {
+            self.places.send(id, jsonrpc::goaway);
+        }
+    }
+
+    /// The end of this process, while the node goes on in another one: those who are connected have been told to go over.
+    pub fn superseded(&mut self, left: Micros) {
+        (self.draining, self.superseded) = (true, true);
+        self.leaving.give();
+        self.tell(|core, now| core.superseded(now, left));
+    }
+
+    /// Whether the node goes on in another process after this one.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Nothing new is accepted, as another process does that; or again.
+    pub fn take_clients(&mut self, taking: bool) {
+        self.taking = taking;
+        if !taking {
+            for id in self.places.gateways() {
+                self.places.send(id, jsonrpc::goaway);
+            }
+        }
+    }
+
+    /// Whether the node is on its way out.
+    pub fn draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether all that was read is answered and written.
+    pub fn settled(&self) -> bool {
+        // What its successor does not hear of a keyed run nobody will know.
+        let told = !self.superseded || !(self.core.keyed_runs() || self.core.has_news() || self.telling > 0);
+        self.core.owed() == 0 && self.places.queued() == 0 && self.core.store_idle() && told
+    }
+}
--- a/node/tests/retune.rs
+++ b/node/tests/retune.rs
@@ -137,3 +137,39 @@
     assert_eq!(figures("swap-confirm", "relayed"), Some(1));
     assert_eq!(figures("crew-view", "fulfilled"), Some(1));
 }
+
+#[test]
+fn two_files_at_once_are_each_taken_whole() {
+    let (node, mut processor, mut gateway, door, mut config) = node();
+    // The second replaces the first before or after that was read: what is in force in the end is the second.
+    for name in ["first", "second"] {
+        config["settings"]["categories"].as_array_mut().unwrap()[0] = class(&config, 0, name);
+        node.reload_text(&config.to_string());
+    }
+    node.line("reload: done");
+    // A third one closes the row, so that all that came before it is done with.
+    while door.figure("cfg_accepted") < Some(1) {}
+    node.reload_text(&config.to_string());
+    node.line("reload: done");
+    gateway.send("first", work(5000, None, b"body"));
+    assert!(unknown(&gateway.receive()));
+    gateway.send("second", work(5000, None, b"body"));
+    assert_eq!(processor.command().0[2], "second");
+    assert_eq!(door.figure("cfg_invalid"), Some(0));
+}
+
+#[test]
+fn a_file_that_comes_during_a_drain_changes_nothing() {
+    let (mut node, mut processor, mut gateway, _door, mut config) = node();
+    gateway.send("rota-view", work(5000, None, b"open"));
+    let (open, _) = processor.command();
+    node.signal("-TERM");
+    node.line("draining: ");
+    config["settings"]["categories"].as_array_mut().unwrap()[0] = class(&config, 0, "late-view");
+    node.reload_text(&config.to_string());
+    processor.complete(&open[1], "fine", b"answered");
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"answered"));
+    gateway.send("alive", json!({}));
+    assert_eq!(gateway.receive()["result"]["healthy"], false);
+    assert!(node.wait().success());
+}
