Close silent strangers before those whose first request is arriving in pieces

Cause, by reading and by the new test, which fails without the change: Places::make_room took the oldest connection that had said nothing whole, which is the slow request's, and Places::idle_at closed it 2.0 s after it came.

Change: bytes that make no message yet count as a sign of life; who is silent goes first, and at 2.0 s as before; who brought bytes within the last second stays up to 2.7 s, as a stranger is owed a word or a close within three.

Whole suite, clippy and fmt pass.

--- a/node/src/net/front.rs
+++ b/node/src/net/front.rs
@@ -126,6 +126,7 @@
             return;
         }
         machine.feed(&bytes[..n]);
+        hub.borrow_mut().stirred(id);
         while let Some(message) = machine.next(|name| hub.borrow().class(name)) {
             hub.borrow_mut().gateway(id, message);
         }
@@ -148,6 +149,7 @@
         if n == 0 {
             return;
         }
+        hub.borrow_mut().stirred(id);
         if let Some(packet) = machine.as_mut().and_then(|m| m.feed(&bytes[..n])) {
             machine = None;
             hub.borrow_mut().uwsgi_packet(id, packet);
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -403,6 +403,12 @@
         self.places.idle_at(id, self.core.idle())
     }
 
+    /// A connection brought bytes.
+    pub fn stirred(&mut self, id: u64) {
+        let now = self.clock.now();
+        self.places.stirred(id, now);
+    }
+
     /// The class of this name, by position.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.core.classes.named(name)
--- a/node/src/net/places.rs
+++ b/node/src/net/places.rs
@@ -14,8 +14,11 @@
 const KEPT: usize = 8 << 10;
 
 /// A connection that has brought no request and no health check yet is closed after so long: it is owed a
-/// word or a close, and places are few.
+/// word or a close within three seconds, and places are few.
 const STRANGER: Micros = 2_000_000;
+/// One that has brought bytes this lately may stay a little longer: a first request may take two seconds to arrive.
+const STIRRED: Micros = 1_000_000;
+const STRANGER_MOST: Micros = 2_700_000;
 /// Errors without a request between them that a connection may bring: a peer that speaks another protocol
 /// would else have the core to itself.
 const MOST_ERRORS: u32 = 8;
@@ -115,6 +118,8 @@
     /// Requests without an answer, by their numbers here, with their classes.
     open: HashMap<u64, (Reference, usize)>,
     active: Micros,
+    /// When it last brought anything, be it half a message.
+    stirred: Micros,
     /// It has brought a request or a health check.
     known: bool,
     /// Errors since the last one.
@@ -157,6 +162,7 @@
             queued: 0,
             open: HashMap::new(),
             active: now,
+            stirred: now,
             known: false,
             errors: 0,
             wanted: place.wanted.clone(),
@@ -217,6 +223,13 @@
         self.all.get(&id).is_none_or(|c| c.out.closed())
     }
 
+    /// A connection brought bytes, whether they make a message or not.
+    pub fn stirred(&mut self, id: u64, now: Micros) {
+        if let Some(c) = self.all.get_mut(&id) {
+            c.stirred = now;
+        }
+    }
+
     /// Requests that a connection has open; nothing if it is gone.
     pub fn open(&self, id: u64) -> Option<usize> {
         self.all.get(&id).map(|c| c.open.len())
@@ -283,13 +296,14 @@
         self.all.len() + self.lingering
     }
 
-    /// Has one connection closed for the others, if any may be: first the one that has said nothing whole for
-    /// longest, then the one that was used least lately.
+    /// Has one connection closed for the others, if any may be: of those that have said nothing whole first the one that
+    /// has been silent for longest, as a request may be on its way in pieces; then the one that was used least lately.
     pub fn make_room(&mut self, now: Micros) -> bool {
         let unused = |c: &&Connection| c.open.is_empty() && !c.out.closed() && c.queued == 0;
         let closable = self.all.values().filter(unused);
-        let closable = closable.filter(|c| c.active + if c.known { IN_USE } else { NEW } <= now);
-        let closed = closable.min_by_key(|c| (c.known, c.active));
+        let last = |c: &Connection| if c.known { c.active } else { c.stirred };
+        let closable = closable.filter(|c| last(c) + if c.known { IN_USE } else { NEW } <= now);
+        let closed = closable.min_by_key(|c| (c.known, last(c)));
         closed.inspect(|c| c.wanted.give()).is_some()
     }
 
@@ -302,7 +316,14 @@
     /// open on it.
     pub fn idle_at(&self, id: u64, idle: Micros) -> Option<Micros> {
         let connection = self.all.get(&id)?;
-        let most = if connection.known { idle } else { STRANGER.min(idle) };
-        connection.open.is_empty().then(|| connection.active + most)
+        let Connection { active, stirred, .. } = *connection;
+        let at = match connection.known {
+            true => active + idle,
+            false => {
+                let silent = (active + STRANGER).max(stirred + STIRRED);
+                silent.min(active + STRANGER_MOST).min(active + idle)
+            }
+        };
+        connection.open.is_empty().then_some(at)
     }
 }
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -328,6 +328,32 @@
     assert!(start.elapsed() < Duration::from_millis(4900), "{:?}", start.elapsed());
 }
 
+/// A first request may take two seconds to arrive, while connections without number come in that say half a word. At half
+/// limits it was the oldest that had said nothing whole, and so the first to be closed for the others.
+#[test]
+fn a_request_that_arrives_in_pieces_is_served_among_a_crowd() {
+    let (node, mut processor, _gateway) = pair(json!({"limits": {"sockets": 160, "memory_mb": 24}}));
+    let params = work(6000, None, b"in pieces");
+    let text = format!("{}\n", json!({"jsonrpc": "2.0", "id": 1, "method": "rota-view", "params": params}));
+    let mut slow = node.gateway();
+    let mut crowd = Vec::new();
+    let pieces: Vec<&[u8]> = text.as_bytes().chunks(text.len().div_ceil(21)).collect();
+    for piece in pieces {
+        slow.raw(piece);
+        for _ in 0..12 {
+            let mut half = TcpStream::connect(node.gateways).unwrap();
+            let _ = half.write_all(&text.as_bytes()[..20]);
+            crowd.push(half);
+        }
+        // Real time is what this is about: 21 pieces within 2.1 s.
+        std::thread::sleep(Duration::from_millis(105));
+    }
+    let (id, body) = processor.begin();
+    assert_eq!(body, b"in pieces");
+    processor.complete(&id, "fine", b"served");
+    assert_eq!(slow.receive()["result"]["doc"], base64(b"served"));
+}
+
 /// Callers hear of a drain late: a node that shut its door at once had its whole traffic refused for seconds.
 #[test]
 fn a_drain_serves_who_comes_within_its_grace() {
