--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -6,13 +6,15 @@
 use std::net::SocketAddr;
 
 /// The version spoken here. Another one is not understood.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// How each side greets the other, before its version (two bytes, little endian).
 const GREETING: &[u8; 6] = b"plhand";
 /// The longest frame, in bytes: a key, a result and some.
 pub const MOST_FRAME: usize = 1 << 20;
-/// The longest key that is passed on, in bytes.
+/// The longest key, in bytes; the fronts read far shorter ones. A longer one would end the handover, never be left out.
 pub const MOST_KEY: usize = 4096;
+/// The longest result that is passed on, in bytes: it fits into a frame with its key.
+pub const MOST_RESULT: usize = MOST_FRAME - MOST_KEY - 1024;
 
 /// How the run of a key came out, as far as it has.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,8 +81,10 @@
         /// From 0 to 1.
         share: f64,
     },
-    /// Successor: it has all keys and serves from now on.
+    /// Successor: it has all keys.
     Taken,
+    /// Predecessor: it accepts nothing more, and the other one is the authority for keys. It is so until that one's death.
+    Yielded,
 }
 
 /// Why a peer can't be understood; its connection has to end.
--- a/handover/src/predecessor.rs
+++ b/handover/src/predecessor.rs
@@ -18,13 +18,13 @@
 /// What is to be done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
-    /// Share room with the successor, or no longer.
-    Share(bool),
+    /// Room is shared with nobody any more.
+    Unshare,
     /// Tell it all keys, `End`, and from then on what changes; unknown keys are its own.
     Freeze,
     /// Unknown keys are this process's again: none was run elsewhere.
     Thaw,
-    /// Stop accepting, and have those who are connected go over.
+    /// Stop accepting, have those who are connected go over, and say `Yielded`.
     Yield,
     /// Accept again, though keys that are not known may have been run by the one that died.
     Resume,
@@ -53,12 +53,12 @@
 
     /// A successor has connected; whether it may stay. There is one at a time, and none takes over from a process that has
     /// been told to leave: its end would be the end of what the successor was promised.
-    pub fn met(&mut self) -> Option<Act> {
-        if self.stage != Stage::Alone || self.leaving {
-            return None;
+    pub fn met(&mut self) -> bool {
+        let may = self.stage == Stage::Alone && !self.leaving;
+        if may {
+            self.stage = Stage::Met;
         }
-        self.stage = Stage::Met;
-        Some(Act::Share(true))
+        may
     }
 
     /// It said something.
@@ -76,20 +76,26 @@
         }
     }
 
-    /// Its connection has ended: it died, or was dropped. What it had said came before.
+    /// Whether the end of its connection is not enough: it may live and serve, so that its death has to be seen before
+    /// [`Predecessor::lost`].
+    pub fn awaits_death(&self) -> bool {
+        self.stage == Stage::Yielded
+    }
+
+    /// Its connection has ended. What it had said came before.
     pub fn lost(&mut self) -> &'static [Act] {
         let before = std::mem::replace(&mut self.stage, Stage::Alone);
         match before {
             Stage::Alone => &[],
-            Stage::Met => &[Act::Share(false)],
-            // It serves only after `Taken`.
-            Stage::Frozen => &[Act::Thaw, Act::Share(false)],
+            Stage::Met => &[Act::Unshare],
+            // It serves only once it has heard `Yielded`.
+            Stage::Frozen => &[Act::Thaw, Act::Unshare],
             // On the way out there is nobody left to accept for.
             Stage::Yielded if self.leaving => {
                 self.stage = Stage::Yielded;
                 &[]
             }
-            Stage::Yielded => &[Act::Resume, Act::Share(false)],
+            Stage::Yielded => &[Act::Resume, Act::Unshare],
         }
     }
 
--- a/handover/src/successor.rs
+++ b/handover/src/successor.rs
@@ -11,6 +11,8 @@
     Preparing,
     /// It has asked for the keys.
     Freezing,
+    /// It has all keys and has said so.
+    Taking,
     /// It serves; its predecessor answers what it has read, and tells what becomes of its keys.
     Serving,
     /// There is no predecessor, or none any more.
@@ -26,13 +28,15 @@
     Enter(Key),
     /// No run of this key began.
     Free(String),
-    /// Say `Taken`, accept, and say yes to operators; health and share as it was told.
-    Serve {
+    /// Say `Taken`; health and share as it was told.
+    Take {
         /// Health checks hear bad.
         standby: bool,
         /// The share of the processor's memory that the predecessor may still take.
         share: f64,
     },
+    /// Accept, and say yes to operators.
+    Serve,
     /// The predecessor doesn't keep to the protocol, and lives: end, so that it serves on as if nothing had been.
     GiveUp(&'static str),
 }
@@ -46,6 +50,8 @@
     Doubtful,
     /// It ended with all keys here. Those that it held or ran are at an end that nobody knows.
     Settled,
+    /// It lives and has not yielded: end, so that it serves on.
+    GiveUp,
 }
 
 /// The steps of the successor.
@@ -86,22 +92,33 @@
                 self.stage = Stage::Preparing;
                 Act::Sockets(welcome)
             }
-            (Stage::Freezing | Stage::Serving, Message::Key(key)) => Act::Enter(key),
-            (Stage::Freezing | Stage::Serving, Message::Free(key)) => Act::Free(key),
+            (Stage::Freezing | Stage::Taking | Stage::Serving, Message::Key(key)) => Act::Enter(key),
+            (Stage::Freezing | Stage::Taking | Stage::Serving, Message::Free(key)) => Act::Free(key),
             (Stage::Freezing, Message::End { standby, share }) => {
+                self.stage = Stage::Taking;
+                Act::Take { standby, share }
+            }
+            (Stage::Taking, Message::Yielded) => {
                 self.stage = Stage::Serving;
-                Act::Serve { standby, share }
+                Act::Serve
             }
             _ => Act::GiveUp("it said something that is not its turn to say"),
         }
     }
 
-    /// The connection has ended.
-    pub fn lost(&mut self) -> Lost {
+    /// Whether the end of the connection is not enough: the predecessor may live and serve, which has to be known for
+    /// [`Successor::lost`].
+    pub fn asks_for_death(&self) -> bool {
+        matches!(self.stage, Stage::Preparing | Stage::Freezing | Stage::Taking)
+    }
+
+    /// The connection has ended, and the predecessor is dead or not.
+    pub fn lost(&mut self, dead: bool) -> Lost {
         match std::mem::replace(&mut self.stage, Stage::Alone) {
             Stage::Greeting | Stage::Alone => Lost::Nobody,
+            Stage::Preparing | Stage::Freezing | Stage::Taking if !dead => Lost::GiveUp,
             Stage::Preparing | Stage::Freezing => Lost::Doubtful,
-            Stage::Serving => Lost::Settled,
+            Stage::Taking | Stage::Serving => Lost::Settled,
         }
     }
 }
--- a/handover/tests/protocol.rs
+++ b/handover/tests/protocol.rs
@@ -18,6 +18,7 @@
         Message::Free("k".into()),
         Message::End { standby: true, share: 0.5 },
         Message::Taken,
+        Message::Yielded,
     ]
 }
 
@@ -53,7 +54,7 @@
     let cases = [
         (b"GET / HTTP/1.1".to_vec(), Err(Broken::Stranger)),
         (b"x".to_vec(), Err(Broken::Stranger)),
-        (b"plhand\x02\x00".to_vec(), Err(Broken::Version(2))),
+        (b"plhand\x01\x00".to_vec(), Err(Broken::Version(1))),
         (b"plhan".to_vec(), Ok(vec![])),
         (frame(&[250]), Err(Broken::Malformed)),
         // A frame that is longer than its message, and one that is longer than any.
@@ -80,21 +81,23 @@
     use predecessor::{Act, Stage};
     let mut p = Predecessor::default();
     assert_eq!(p.heard(&Message::Taken), Act::Drop);
-    assert_eq!(p.met(), Some(Act::Share(true)));
-    assert_eq!(p.met(), None, "one at a time");
+    assert!(p.met());
+    assert!(!p.met(), "one at a time");
     assert_eq!(p.heard(&Message::Taken), Act::Drop, "without the keys it serves nobody");
-    assert_eq!(p.lost(), [Act::Share(false)]);
+    assert_eq!(p.lost(), [Act::Unshare]);
     p.met();
     assert_eq!(p.heard(&Message::Freeze), Act::Freeze);
     assert_eq!(p.heard(&Message::Freeze), Act::Drop);
-    assert_eq!(p.lost(), [Act::Thaw, Act::Share(false)]);
+    assert!(!p.awaits_death(), "it has not yielded");
+    assert_eq!(p.lost(), [Act::Thaw, Act::Unshare]);
     p.met();
     p.heard(&Message::Freeze);
     assert_eq!(p.heard(&Message::Taken), Act::Yield);
-    assert_eq!(p.lost(), [Act::Resume, Act::Share(false)]);
+    assert!(p.awaits_death(), "the other one may serve");
+    assert_eq!(p.lost(), [Act::Resume, Act::Unshare]);
     assert_eq!(p.stage(), Stage::Alone);
     // Told to leave, with nobody in its place and with somebody.
-    assert!(!p.leave() && p.met().is_none());
+    assert!(!p.leave() && !p.met());
     let mut p = Predecessor::default();
     p.met();
     p.heard(&Message::Freeze);
@@ -107,20 +110,26 @@
 #[test]
 fn the_successor_serves_only_with_all_keys_and_knows_what_a_loss_means() {
     use successor::Act;
-    let [welcome, _, open, .., end, _] = &all()[..] else { panic!("as above") };
+    let [welcome, _, open, .., end, _, yielded] = &all()[..] else { panic!("as above") };
     let mut s = Successor::greeting();
     assert!(!s.ready(), "no sockets yet");
     assert!(matches!(s.heard(end.clone()), Act::GiveUp(_)));
-    assert_eq!(s.lost(), Lost::Nobody);
+    assert_eq!(s.lost(false), Lost::Nobody);
     let mut s = Successor::greeting();
     assert!(matches!(s.heard(welcome.clone()), Act::Sockets(_)));
     assert!(matches!(s.heard(end.clone()), Act::GiveUp(_)), "not asked for");
     assert!(s.ready() && !s.ready(), "asked for once");
     assert!(matches!(s.heard(open.clone()), Act::Enter(_)));
-    assert_eq!({ s }.lost(), Lost::Doubtful);
-    assert_eq!(s.heard(end.clone()), Act::Serve { standby: true, share: 0.5 });
+    assert!(matches!(s.heard(yielded.clone()), Act::GiveUp(_)), "not all keys are here");
+    assert!(s.asks_for_death());
+    assert_eq!([{ s }.lost(true), { s }.lost(false)], [Lost::Doubtful, Lost::GiveUp]);
+    assert_eq!(s.heard(end.clone()), Act::Take { standby: true, share: 0.5 });
     assert!(matches!(s.heard(open.clone()), Act::Enter(_)));
     assert!(matches!(s.heard(end.clone()), Act::GiveUp(_)));
-    assert_eq!(s.lost(), Lost::Settled);
-    assert_eq!(s.lost(), Lost::Nobody);
+    assert_eq!([{ s }.lost(true), { s }.lost(false)], [Lost::Settled, Lost::GiveUp]);
+    assert_eq!(s.heard(yielded.clone()), Act::Serve);
+    assert!(matches!(s.heard(open.clone()), Act::Enter(_)));
+    assert!(!s.asks_for_death(), "it serves, whatever becomes of the other one");
+    assert_eq!(s.lost(false), Lost::Settled);
+    assert_eq!(s.lost(true), Lost::Nobody);
 }
--- a/node/src/core/handed.rs
+++ b/node/src/core/handed.rs
@@ -3,7 +3,7 @@
 use super::keys::Kept;
 use super::{Answer, Bounds, Core};
 use pipitlever::{Micros, Settings};
-use pipitlever_handover::message::{Key, Message, State, MOST_KEY};
+use pipitlever_handover::message::{Key, Message, State, MOST_RESULT};
 use pipitlever_handover::trust::{Trust, Verdict};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -53,22 +53,18 @@
 
     /// The next thing that the process that takes over is to hear of the keys, with times moved on to Unix time by this.
     pub fn next_news(&mut self, to_unix: Micros) -> Option<Message> {
-        loop {
-            let (key, entry) = self.keys.next_news()?;
-            if key.len() > MOST_KEY {
-                // No gateway has such a key. Unknown to the other process, which is told no more of it.
-                continue;
-            }
-            let Some(entry) = entry else { return Some(Message::Free(key.to_string())) };
-            let state = match &entry.kept {
-                None => State::Open,
-                Some(Kept::Served(result)) => State::Served(result.to_vec()),
-                Some(Kept::Failed) => State::Failed,
-                Some(Kept::Unknown(_)) => State::Unknown,
-            };
-            let Some(until) = entry.until.checked_add(to_unix) else { continue };
-            return Some(Message::Key(Key { key: key.to_string(), payload: entry.payload, until, state }));
-        }
+        let (key, entry) = self.keys.next_news()?;
+        let Some(entry) = entry else { return Some(Message::Free(key.to_string())) };
+        let state = match &entry.kept {
+            None => State::Open,
+            Some(Kept::Served(result)) if result.len() <= MOST_RESULT => State::Served(result.to_vec()),
+            // Its repeats fail at the other process; never does it run again.
+            Some(Kept::Served(_)) => State::Failed,
+            Some(Kept::Failed) => State::Failed,
+            Some(Kept::Unknown(_)) => State::Unknown,
+        };
+        let until = entry.until.saturating_add(to_unix);
+        Some(Message::Key(Key { key: key.to_string(), payload: entry.payload, until, state }))
     }
 
     /// Whether the process that takes over has not heard all.
--- a/node/src/core/interleavings.rs
+++ b/node/src/core/interleavings.rs
@@ -1,5 +1,5 @@
 //! Two processes of one node and the tries of one key, in every order at small size: steps of the handover, ends of runs, callers that
-//! leave, and the death of either process at any point. The key is run once at most, no further try of it is turned away after
+//! leave, and the death of either process or the end of their connection at any point. The key is run once at most, no further try of it is turned away after
 //! that, and each try that a process has read is answered once while that process lives.
 
 use super::tests::{busy, core, incoming};
@@ -30,9 +30,12 @@
     HearNew,
     DieOld,
     DieNew,
+    /// One drops the connection, and both live.
+    DropOld,
+    DropNew,
 }
 
-const ALL: [Step; 11] = [
+const ALL: [Step; 13] = [
     Step::TryOld,
     Step::TryNew,
     Step::EndOld,
@@ -44,6 +47,8 @@
     Step::HearNew,
     Step::DieOld,
     Step::DieNew,
+    Step::DropOld,
+    Step::DropNew,
 ];
 
 /// One process, with what came of it.
@@ -71,8 +76,13 @@
     to_old: VecDeque<Message>,
     to_new: VecDeque<Message>,
     ended: bool,
-    /// The old process has seen the end of the connection.
+    /// The old process has seen the end of the connection, and the new one.
     parted: bool,
+    alone: bool,
+    /// The old process has yielded once.
+    yielded: bool,
+    /// Who has dropped it.
+    dropped: Option<Step>,
     tries: u64,
     begun: u64,
     /// Tries that came after the run had begun.
@@ -90,7 +100,7 @@
         let mut new = core();
         new.marked = true;
         let (mut predecessor, mut successor) = (Predecessor::default(), Successor::greeting());
-        predecessor.met();
+        assert!(predecessor.met());
         let welcome =
             pipitlever_handover::message::Welcome { name: "n".into(), listening: vec![], salt: [0; 2] };
         successor.heard(Message::Welcome(welcome));
@@ -104,6 +114,9 @@
             to_new: VecDeque::new(),
             ended: false,
             parted: false,
+            alone: false,
+            yielded: false,
+            dropped: None,
             tries: 0,
             begun: 0,
             late: Vec::new(),
@@ -116,28 +129,39 @@
 
     fn possible(&self, step: Step) -> bool {
         let both = self.old.alive && self.new.alive;
+        let carried = both && self.dropped.is_none();
         match step {
             Step::TryOld => self.old.alive && self.tries < TRIES,
             Step::TryNew => self.new.alive && self.serves() && self.tries < TRIES,
             Step::EndOld => self.old.alive && !self.old.running.is_empty(),
             Step::EndNew => self.new.alive && !self.new.running.is_empty(),
             Step::Gone => self.old.alive && self.old.gone.is_empty() && !self.old.read.is_empty(),
-            Step::Ready => self.new.alive && self.successor.stage() == successor::Stage::Preparing,
+            Step::Ready => {
+                self.new.alive && !self.alone && self.successor.stage() == successor::Stage::Preparing
+            }
             Step::Say => {
                 let asked = matches!(
                     self.predecessor.stage(),
                     predecessor::Stage::Frozen | predecessor::Stage::Yielded
                 );
-                both && asked && (self.old.core.has_news() || !self.ended)
+                carried && asked && (self.old.core.has_news() || !self.ended)
             }
             // What was said before a death is heard after it, and then the death.
-            Step::HearOld => self.old.alive && (!self.to_old.is_empty() || (!self.new.alive && !self.parted)),
+            Step::HearOld => {
+                let heard = self.dropped != Some(Step::DropOld) && !self.to_old.is_empty();
+                // Where it has yielded it waits for the other one's death.
+                let over = !self.new.alive || (self.dropped.is_some() && !self.predecessor.awaits_death());
+                self.old.alive && !self.parted && (heard || over)
+            }
             Step::HearNew => {
-                let parted = self.successor.stage() == successor::Stage::Alone;
-                self.new.alive && (!self.to_new.is_empty() || (!self.old.alive && !parted))
+                let heard = self.dropped != Some(Step::DropNew) && !self.to_new.is_empty();
+                self.new.alive && !self.alone && (heard || !self.old.alive || self.dropped.is_some())
             }
             // A third process is another story.
             Step::DieOld | Step::DieNew => both,
+            Step::DropOld => carried,
+            // It drops only a predecessor that it has taken over from; before, it ends instead.
+            Step::DropNew => carried && self.successor.stage() == successor::Stage::Serving,
         }
     }
 
@@ -177,43 +201,55 @@
                     self.to_new.push_back(Message::End { standby: false, share: 0.5 });
                 }
             },
-            Step::HearOld => match self.to_old.pop_front() {
+            Step::HearOld => match self.to_old.pop_front().filter(|_| self.dropped != Some(Step::DropOld)) {
                 Some(message) => match self.predecessor.heard(&message) {
                     predecessor::Act::Freeze => self.old.core.freeze(),
-                    act => assert_eq!(act, predecessor::Act::Yield),
+                    act => {
+                        assert_eq!(act, predecessor::Act::Yield);
+                        self.yielded = true;
+                        self.to_new.push_back(Message::Yielded);
+                    }
                 },
                 None => {
                     self.parted = true;
                     for act in self.predecessor.lost() {
                         match act {
                             predecessor::Act::Thaw => self.old.core.thaw(),
-                            predecessor::Act::Resume => self.old.core.doubt_keys(now),
+                            predecessor::Act::Resume => {
+                                assert!(!self.new.alive, "it accepts beside one that serves");
+                                self.old.core.doubt_keys(now);
+                            }
                             _ => {}
                         }
                     }
                 }
             },
-            Step::HearNew => match self.to_new.pop_front() {
+            Step::HearNew => match self.to_new.pop_front().filter(|_| self.dropped != Some(Step::DropNew)) {
                 Some(message) => match self.successor.heard(message) {
                     successor::Act::Enter(key) => {
                         let until = key.until;
                         self.new.core.enter(now, key, until);
                     }
                     successor::Act::Free(key) => self.new.core.freed(now, &key),
-                    act => {
-                        assert!(matches!(act, successor::Act::Serve { .. }), "{act:?}");
-                        self.to_old.push_back(Message::Taken);
-                    }
+                    successor::Act::Take { .. } => self.to_old.push_back(Message::Taken),
+                    act => assert_eq!(act, successor::Act::Serve),
                 },
                 None => {
-                    if self.successor.lost() != Lost::Settled {
-                        self.new.core.doubt_keys(now);
+                    self.alone = true;
+                    match self.successor.lost(!self.old.alive) {
+                        Lost::GiveUp => self.new.alive = false,
+                        lost => {
+                            if lost != Lost::Settled {
+                                self.new.core.doubt_keys(now);
+                            }
+                            self.new.core.orphaned(now);
+                        }
                     }
-                    self.new.core.orphaned(now);
                 }
             },
             Step::DieOld => self.old.alive = false,
             Step::DieNew => self.new.alive = false,
+            Step::DropOld | Step::DropNew => self.dropped = Some(step),
         }
         self.note();
     }
@@ -263,13 +299,26 @@
             self.take(step);
             self.check();
         }
+        // Both serve only as long as one of them runs no key that the other may run.
+        let authorities =
+            [&self.old, &self.new].map(|at| at.alive && at.core.doubts(self.now, false).is_none());
+        assert!(authorities != [true, true] || !self.serves(), "both are the authority for keys");
         // What never began at the old process is run at the new one, if somebody still waits for it there.
         let left = self.old.read.iter().all(|(reference, _)| self.old.gone.contains(reference));
-        if self.old.alive && self.new.alive && left && !self.new.read.is_empty() {
+        if self.old.alive && self.new.alive && self.dropped.is_none() && left && !self.new.read.is_empty() {
             assert_eq!(self.begun, 1, "nobody runs it");
         }
+        // The end of the run, wherever it was, is known at both by now.
+        if self.old.alive && self.new.alive && self.dropped.is_none() && self.begun == 1 {
+            let waits = self.new.read.iter().find(|(_, answers)| answers.is_empty());
+            assert!(waits.is_none(), "{waits:?} was not told how the run ended");
+        }
         // Where the new process never served, the old one is what it was.
-        if self.old.alive && !self.new.alive && !self.ended {
+        if self.old.alive
+            && !self.new.alive
+            && self.predecessor.stage() == predecessor::Stage::Alone
+            && !self.yielded
+        {
             assert!(self.old.core.doubts(self.now, true).is_none(), "it doubts for nothing");
         }
         for _ in 0..8 {
@@ -324,13 +373,16 @@
     // From the start, and from the points where the authority is about to pass on.
     let asked = [Step::Ready, Step::HearOld];
     let told = [Step::TryOld, Step::Ready, Step::HearOld, Step::Say, Step::Say, Step::HearNew];
+    let served = [&told[..], &[Step::HearNew, Step::HearOld, Step::HearNew]].concat();
     let ways = [
         explore(false, &mut vec![], 7),
         explore(true, &mut vec![], 7),
         explore(false, &mut asked.to_vec(), 7),
         explore(true, &mut asked.to_vec(), 7),
-        explore(false, &mut told.to_vec(), 7),
-        explore(true, &mut told.to_vec(), 7),
+        explore(false, &mut told.to_vec(), 6),
+        explore(true, &mut told.to_vec(), 6),
+        explore(false, &mut served.to_vec(), 6),
+        explore(true, &mut served.to_vec(), 6),
     ];
     assert!(ways.iter().sum::<u64>() > 20_000, "{ways:?}");
 }
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -500,7 +500,7 @@
         let new_key =
             incoming.key.as_ref().is_some_and(|k| self.keys.repeated(k, incoming.arrived).is_none());
         let no_place = new_key && self.keys.full();
-        if let Some(answer) = self.doubts(now, incoming.retry).filter(|_| new_key) {
+        if let Some(answer) = new_key.then(|| self.doubts(now, incoming.retry)).flatten() {
             // Another process may have run it. Never offered, never run here.
             self.now = self.now.max(now);
             note(&mut self.tap, self.now, &incoming, &answer, By::Elsewhere);
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -6,13 +6,14 @@
 use super::signals::{Signal, Signals};
 use crate::log::log;
 use crate::net::front::Fronts;
-use crate::net::handover::{self, Trouble};
+use crate::net::handover::{self, Offer, Trouble};
 use crate::net::hub::{Hub, Limits, Shared};
 use crate::net::places::Front;
 use crate::net::{ahead, by, control, ledger, membership, processor, timers, workers};
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use pipitlever_reactor::{block_on, Async, Timer};
+use pipitlever_store::record::Salt;
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
@@ -92,11 +93,12 @@
         |of: fn(&pipitlever::Class) -> i64| tuning.settings.classes.iter().map(of).max().unwrap_or(0);
     let window = longest(|c| c.window) + longest(|c| c.deadline);
     let opened = store.map(|store| super::store::open(store, window)).transpose()?;
-    let mut hub = Hub::new(tuning, seed, limits.bounds(false));
+    let salt = Salt::random().map_err(|e| format!("random numbers: {e}"))?;
+    let salt = met.as_ref().map_or(salt, |met| met.salt);
+    let mut hub = Hub::new(tuning, seed, salt, limits.bounds(false));
     let most_result = hub.core.most_result();
     hub.bound(limits);
-    if let Some(met) = &met {
-        hub.salt = met.salt;
+    if met.is_some() {
         hub.share(Some(0.5));
     }
     let hub: Shared = Rc::new(RefCell::new(hub));
@@ -122,22 +124,25 @@
         log(&format!("serving: name={name} protocol={} listen={at}", front.word()));
     }
     let fronts = Fronts::new(executor.clone(), hub.clone(), sockets);
-    let offer = {
-        let (executor, hub, fronts, name) = (executor.clone(), hub.clone(), fronts.clone(), name.clone());
-        // Under the address that the system has picked, if it has.
-        let place = place.and_then(|_| handover::place(at));
-        move || place.iter().for_each(|place| handover::offer(&executor, &hub, &fronts, &name, place))
+    // Under the address that the system has picked, if it has.
+    let place = place.and_then(|_| handover::place(at));
+    let offer =
+        place.map(|place| Offer::new(executor.clone(), hub.clone(), fronts.clone(), name.clone(), place));
+    let serve = {
+        let (fronts, offer) = (fronts.clone(), offer.clone());
+        move || {
+            // To be found before it serves: a process that yields to this one is found no longer.
+            offer.iter().for_each(Offer::open);
+            fronts.open();
+        }
     };
     let trouble = Trouble::default();
     match met {
-        None => {
-            fronts.open();
-            offer();
-        }
+        None => serve(),
         Some(met) => {
-            let (hub, fronts, trouble) = (hub.clone(), fronts.clone(), trouble.clone());
+            let (hub, trouble) = (hub.clone(), trouble.clone());
             let taking = async move {
-                if let Err(what) = met.take_over(&hub, &fronts, offer).await {
+                if let Err(what) = met.take_over(&hub, serve).await {
                     trouble.found(what);
                 }
             };
@@ -161,7 +166,10 @@
     let superseded = hub.borrow_mut().predecessor.leave();
     match superseded {
         true => hand_over(&hub).await,
-        false => drain(&hub, &fronts, config.stop_ms).await,
+        false => {
+            offer.iter().for_each(|offer| offer.close());
+            drain(&hub, &fronts, config.stop_ms).await;
+        }
     }
     print_counters(&hub);
     capturing.end(&hub);
@@ -201,7 +209,6 @@
     log(&format!("draining: stop_ms={stop_ms} owed={}", hub.borrow().core.owed()));
     // The module keeps two ticks back from this for its last answers.
     hub.borrow_mut().drain((stop_ms.saturating_sub(SPARE_MS) * 1000) as i64);
-    hub.borrow().alone.give();
     // Callers learn of it late, and until then send to nobody else what is sent here: it is served as usual for as long as
     // it may be run.
     Timer::at(close).await;
--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -13,13 +13,16 @@
 use pipitlever_handover::successor::{self, Lost, Stage, Successor};
 use pipitlever_reactor::{Async, Timer};
 use pipitlever_store::record::Salt;
+use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::fd::{AsFd, OwnedFd};
+use rustix::process::{pidfd_open, PidfdFlags};
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Instant;
 
 /// A peer says and reads what is its turn by then, in milliseconds: a process answers operators within a second, and a
 /// successor is to say yes within six.
@@ -27,6 +30,10 @@
 /// A process that is leaving is waited for so long, in milliseconds, with such pauses.
 const LEAVING_MS: u64 = 3000;
 const PAUSE_MS: u64 = 25;
+/// A process whose connection has ended is given so long to be dead, in milliseconds.
+const DYING_MS: u64 = 500;
+/// Nothing is waited for.
+const NOW: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
 /// Bytes written at a time: the table moves in pieces, and the node's other tasks have their turn in between.
 const PIECE: usize = 64 << 10;
 
@@ -37,61 +44,112 @@
     Some(Path::new(&folder).join(format!("pipitlever-{name}.sock")))
 }
 
-/// Whether a peer is of the same user: nobody else may have the node's sockets, or give it any.
-fn ours(stream: &UnixStream) -> bool {
-    rustix::net::sockopt::socket_peercred(stream).is_ok_and(|peer| peer.uid == rustix::process::getuid())
-}
+/// The process at the other end.
+struct Peer(Option<OwnedFd>);
 
-/// Waits for a successor at this place from now on. Another process's socket there is taken over: who knew it has been met.
-pub fn offer(
-    executor: &Rc<LocalExecutor<'static>>,
-    hub: &Shared,
-    fronts: &Rc<Fronts>,
-    name: &str,
-    place: &Path,
-) {
-    let fresh = place.with_extension(format!("{}", std::process::id()));
-    // One that a crash has left under this very number.
-    let _ = std::fs::remove_file(&fresh);
-    let bound = UnixListener::bind(&fresh).and_then(|listener| {
-        // Under its name only once it listens, and in one step: whoever comes finds one that answers.
-        std::fs::rename(&fresh, place)?;
-        Async::<UnixListener>::new(listener)
-    });
-    let listener = match bound {
-        Ok(listener) => listener,
-        Err(error) => {
-            let _ = std::fs::remove_file(&fresh);
-            return log(&format!("handover: off: {}: {error}", place.display()));
+impl Peer {
+    /// Who holds the other end, if it is of the same user: nobody else may have the node's sockets, or give it any.
+    fn of(stream: &UnixStream) -> Option<Peer> {
+        let peer = rustix::net::sockopt::socket_peercred(stream).ok()?;
+        let ours = peer.uid == rustix::process::getuid();
+        ours.then(|| Peer(pidfd_open(peer.pid, PidfdFlags::empty()).ok()))
+    }
+
+    /// Whether it has ended. Where the system can't say, the end of its connection has to do.
+    fn dead(&self) -> bool {
+        let Some(process) = &self.0 else { return true };
+        let mut ended = [PollFd::new(process, PollFlags::IN)];
+        rustix::event::poll(&mut ended, Some(&NOW)).is_ok_and(|n| n > 0)
+    }
+
+    /// Waits for its end, until then if a time is given; whether it came.
+    async fn died(&self, until: Option<Instant>) -> bool {
+        // Its sockets close a moment before it has ended.
+        while !self.dead() {
+            if until.is_some_and(|until| until <= Instant::now()) {
+                return false;
+            }
+            Timer::at(ahead(PAUSE_MS)).await;
         }
-    };
-    let gone = hub.borrow().alone.clone();
-    let (hub, fronts, name, place) = (hub.clone(), fronts.clone(), name.to_owned(), place.to_owned());
-    let spawner = executor.clone();
-    let accepting = async move {
-        loop {
-            match listener.accept().await {
-                Ok(stream) if ours(&stream) => {
-                    let Ok(stream) = Async::<UnixStream>::new(stream) else { continue };
-                    spawner.spawn(welcome(hub.clone(), fronts.clone(), name.clone(), stream)).detach();
-                }
-                Ok(_) => log("handover: a process of another user was turned away"),
-                Err(_) => {
+        true
+    }
+}
+
+/// The place where a successor finds this process.
+pub struct Offer {
+    executor: Rc<LocalExecutor<'static>>,
+    hub: Shared,
+    fronts: Rc<Fronts>,
+    name: String,
+    place: PathBuf,
+    /// Ends what is there now.
+    close: RefCell<Nudge>,
+}
+
+impl Offer {
+    /// Nothing is there yet.
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        hub: Shared,
+        fronts: Rc<Fronts>,
+        name: String,
+        place: PathBuf,
+    ) -> Rc<Offer> {
+        Rc::new(Offer { executor, hub, fronts, name, place, close: RefCell::default() })
+    }
+
+    /// Waits for a successor from now on. A socket that is there is taken over: whoever had it is dead, or leaves.
+    pub fn open(self: &Rc<Offer>) {
+        let fresh = self.place.with_extension(format!("{}", std::process::id()));
+        // One that a crash has left under this very number.
+        let _ = std::fs::remove_file(&fresh);
+        let bound = UnixListener::bind(&fresh).and_then(|listener| {
+            // Under its name only once it listens, and in one step: whoever comes finds one that answers.
+            std::fs::rename(&fresh, &self.place)?;
+            Async::<UnixListener>::new(listener)
+        });
+        let listener = match bound {
+            Ok(listener) => listener,
+            Err(error) => {
+                let _ = std::fs::remove_file(&fresh);
+                return log(&format!("handover: off: {}: {error}", self.place.display()));
+            }
+        };
+        let (offer, close) = (self.clone(), Nudge::new());
+        *self.close.borrow_mut() = close.clone();
+        let accepting = async move {
+            loop {
+                let Ok(stream) = listener.accept().await else {
                     Timer::at(ahead(50)).await;
+                    continue;
+                };
+                let Some(peer) = Peer::of(&stream) else {
+                    log("handover: a process of another user was turned away");
+                    continue;
+                };
+                if let Ok(stream) = Async::<UnixStream>::new(stream) {
+                    offer.executor.spawn(welcome(offer.clone(), stream, peer)).detach();
                 }
             }
-        }
-    };
-    let offering = async move {
-        future::or(accepting, gone.wait()).await;
-        // Who comes now finds nobody, and begins as if there had never been one.
-        let _ = std::fs::remove_file(&place);
-    };
-    executor.spawn(offering).detach();
+        };
+        self.executor.spawn(future::or(accepting, async move { close.wait().await })).detach();
+    }
+
+    /// Nobody finds this process any more: its successor is to be found there by now.
+    fn pass_on(&self) {
+        self.close.borrow().give();
+    }
+
+    /// Nobody finds this process any more. Who comes begins as if there had never been one.
+    pub fn close(&self) {
+        self.pass_on();
+        let _ = std::fs::remove_file(&self.place);
+    }
 }
 
 /// One that has come to take over, from its first word to its end.
-async fn welcome(hub: Shared, fronts: Rc<Fronts>, name: String, stream: Async<UnixStream>) {
+async fn welcome(offer: Rc<Offer>, stream: Async<UnixStream>, peer: Peer) {
+    let hub = &offer.hub;
     let mut reader = Reader::default();
     let greeted = async {
         let mut bytes = [0; 512];
@@ -115,39 +173,42 @@
         let _ = stream.write(&message::greeting()).await;
         return log(&format!("handover: a process was turned away: {why}"));
     }
-    let met = hub.borrow_mut().predecessor.met();
-    let Some(act) = met else {
+    if !hub.borrow_mut().predecessor.met() {
         return log("handover: a process was turned away: another one takes over already");
-    };
+    }
     log("handover: a process has come to take over");
-    act_on(&hub, &fronts, act);
-    let carried = future::or(write(&hub, &fronts, &name, &stream), read(&hub, &fronts, &mut reader, &stream));
-    let why = carried.await;
-    let before = hub.borrow().predecessor.stage();
+    let why = future::or(write(&offer, &stream), read(&offer, &mut reader, &stream)).await;
+    // Whoever still reads at the other end is to see that this is over.
+    drop(stream);
+    let yielded = hub.borrow().predecessor.awaits_death();
+    if yielded {
+        // As long as it lives it may serve, and two must not.
+        peer.died(None).await;
+    }
     let acts = hub.borrow_mut().predecessor.lost();
-    if before != Step::Yielded {
+    if !yielded {
         log(&format!("handover: not done, this process serves on: {why}"));
     } else if !acts.is_empty() {
         log(&format!("handover: the process that took over is gone, this one serves again: {why}"));
     }
-    acts.iter().for_each(|act| act_on(&hub, &fronts, *act));
+    acts.iter().for_each(|act| act_on(&offer, *act));
 }
 
 /// Tells the successor what there is, until it can't be told; why not.
-async fn write(hub: &Shared, fronts: &Fronts, name: &str, stream: &Async<UnixStream>) -> String {
-    let sockets = fronts.sockets();
+async fn write(offer: &Offer, stream: &Async<UnixStream>) -> String {
+    let (hub, sockets) = (&offer.hub, offer.fronts.sockets());
     let listening = sockets.iter().map(|(front, at, _)| Listening { protocol: front.word().into(), at: *at });
     let listening = listening.collect();
     let Salt(salt) = hub.borrow().salt;
     let mut bytes = message::greeting();
-    message::write(&Message::Welcome(Welcome { name: name.to_owned(), listening, salt }), &mut bytes);
+    message::write(&Message::Welcome(Welcome { name: offer.name.clone(), listening, salt }), &mut bytes);
     let passed: Vec<_> = sockets.iter().map(|(_, _, listener)| listener.get_ref().as_fd()).collect();
     let first = by(ahead(PATIENCE_MS), stream.send_with(&bytes, &passed)).await;
     let Some(Ok(sent)) = first else { return "its welcome could not be sent".into() };
     drop(sockets);
     let mut rest = bytes.split_off(sent);
     let news = hub.borrow().news.clone();
-    let mut ended = false;
+    let mut said = Said::default();
     loop {
         match by(ahead(PATIENCE_MS), stream.write_all(&rest)).await {
             Some(Ok(())) => {}
@@ -156,22 +217,33 @@
             None => return "it does not read".into(),
         }
         rest.clear();
-        while !next_piece(hub, &mut rest, &mut ended) {
+        while !next_piece(hub, &mut rest, &mut said) {
             news.wait().await;
         }
     }
 }
 
+/// What a successor has been told beside keys.
+#[derive(Default)]
+struct Said {
+    end: bool,
+    yielded: bool,
+}
+
 /// What is to be told next, in one piece; whether there is anything. All keys come before `End`, then those that change.
-fn next_piece(hub: &Shared, piece: &mut Vec<u8>, ended: &mut bool) -> bool {
+fn next_piece(hub: &Shared, piece: &mut Vec<u8>, said: &mut Said) -> bool {
     let mut hub = hub.borrow_mut();
     let to_unix = hub.clock.ahead_to_unix();
     while piece.len() < PIECE {
         let Some(message) = hub.core.next_news(to_unix) else { break };
         message::write(&message, piece);
     }
-    if piece.is_empty() && !*ended && hub.predecessor.stage() == Step::Frozen {
-        *ended = true;
+    let stage = hub.predecessor.stage();
+    if stage == Step::Yielded && !std::mem::replace(&mut said.yielded, true) {
+        message::write(&Message::Yielded, piece);
+    }
+    if piece.is_empty() && !said.end && stage == Step::Frozen {
+        said.end = true;
         let (standby, share) = (hub.core.standing_by(), hub.core.share_wanted());
         // What this process has taken of the memory beyond its half, its successor leaves to it.
         hub.share(Some(share));
@@ -182,7 +254,7 @@
 }
 
 /// Listens to the successor until its end, or until it says what it may not; which.
-async fn read(hub: &Shared, fronts: &Fronts, reader: &mut Reader, stream: &Async<UnixStream>) -> String {
+async fn read(offer: &Rc<Offer>, reader: &mut Reader, stream: &Async<UnixStream>) -> String {
     let mut bytes = [0; 512];
     loop {
         loop {
@@ -191,11 +263,11 @@
                 Ok(None) => break,
                 Err(broken) => return broken.to_string(),
             };
-            let act = hub.borrow_mut().predecessor.heard(&said);
+            let act = offer.hub.borrow_mut().predecessor.heard(&said);
             if act == Act::Drop {
                 return "it spoke out of turn".into();
             }
-            act_on(hub, fronts, act);
+            act_on(offer, act);
         }
         match stream.read(&mut bytes).await {
             Ok(n) if n > 0 => reader.feed(&bytes[..n]),
@@ -204,11 +276,10 @@
     }
 }
 
-fn act_on(hub: &Shared, fronts: &Fronts, act: Act) {
+fn act_on(offer: &Rc<Offer>, act: Act) {
+    let hub = &offer.hub;
     match act {
-        // Its module starts with half; this one goes on with what it has until it is asked for the keys.
-        Act::Share(true) => {}
-        Act::Share(false) => hub.borrow_mut().share(None),
+        Act::Unshare => hub.borrow_mut().share(None),
         Act::Freeze => {
             let mut hub = hub.borrow_mut();
             hub.core.freeze();
@@ -217,11 +288,14 @@
         Act::Thaw => hub.borrow_mut().core.thaw(),
         Act::Yield => {
             log("handover: done, the other process serves");
-            fronts.pause();
+            offer.fronts.pause();
+            offer.pass_on();
+            hub.borrow().news.give();
         }
         Act::Resume => {
             hub.borrow_mut().tell(|core, now| core.doubt_keys(now));
-            fronts.open();
+            offer.fronts.open();
+            offer.open();
         }
         Act::Drop => {}
     }
@@ -230,6 +304,7 @@
 /// A predecessor that has passed its sockets on.
 pub struct Met {
     stream: Async<UnixStream>,
+    peer: Peer,
     reader: Reader,
     machine: Successor,
     /// What makes the digests of bodies the node's own.
@@ -251,17 +326,17 @@
             }
             Err(e) => return Err(format!("handover: {}: {e}", place.display())),
         };
-        if !ours(&stream) {
+        let Some(peer) = Peer::of(&stream) else {
             return Err(format!("handover: {}: a process of another user listens there", place.display()));
-        }
+        };
         let stream = Async::<UnixStream>::new(stream).map_err(|e| format!("handover: {e}"))?;
         match by(ahead(PATIENCE_MS), welcomed(&stream)).await {
             Some(Ok(Some((machine, reader, welcome, passed)))) => {
                 let sockets = taken_over(&welcome, passed, name, listen)?;
-                return Ok(Some(Met { stream, reader, machine, salt: Salt(welcome.salt), sockets }));
+                return Ok(Some(Met { stream, peer, reader, machine, salt: Salt(welcome.salt), sockets }));
             }
             // It leaves, died, or has another successor already.
-            Some(Ok(None)) if std::time::Instant::now() < until => {
+            Some(Ok(None)) if Instant::now() < until => {
                 Timer::at(ahead(PAUSE_MS)).await;
             }
             Some(Ok(None)) => return Err("handover: the process that is there turns this one away".into()),
@@ -331,69 +406,56 @@
 impl Met {
     /// Takes over once this process is ready, and follows the predecessor to its end. An error means that this process is to end,
     /// and the other one serves on.
-    pub async fn take_over(
-        mut self,
-        hub: &Shared,
-        fronts: &Rc<Fronts>,
-        serves: impl Fn(),
-    ) -> Result<(), String> {
-        let result = {
-            let ready = async {
-                while hub.borrow().core.fresh() {
-                    Timer::at(ahead(5)).await;
-                }
-            };
-            // Until it is ready the predecessor says nothing, but it may end.
-            let mut byte = [0; 1];
-            let ended = async {
-                let _ = self.stream.read(&mut byte).await;
-            };
-            let ready = future::or(
-                async {
-                    ready.await;
-                    true
-                },
-                async {
-                    ended.await;
-                    false
-                },
-            )
-            .await;
-            match ready {
-                true => self.follow(hub, fronts, &serves).await,
-                false => Ok(()),
-            }
-        };
-        result?;
-        let lost = self.machine.lost();
-        match lost {
+    pub async fn take_over(mut self, hub: &Shared, serve: impl Fn()) -> Result<(), String> {
+        self.follow(hub, &serve).await?;
+        // A connection can end while both live, and two must not serve.
+        let dead = !self.machine.asks_for_death() || self.peer.died(Some(ahead(DYING_MS))).await;
+        match self.machine.lost(dead) {
+            Lost::GiveUp => return Err("handover: the process that is there has broken off".into()),
             Lost::Settled => log("handover: the process before this one has ended"),
             Lost::Doubtful | Lost::Nobody => {
                 log("handover: the process before this one died before its keys were here: unknown keys wait for a window");
                 hub.borrow_mut().tell(|core, now| core.doubt_keys(now));
-                fronts.open();
-                serves();
             }
         }
         hub.borrow_mut().tell(|core, now| core.orphaned(now));
         hub.borrow_mut().share(None);
+        if !hub.borrow().taking {
+            serve();
+        }
         Ok(())
     }
 
-    async fn follow(&mut self, hub: &Shared, fronts: &Rc<Fronts>, serves: &impl Fn()) -> Result<(), String> {
-        self.machine.ready();
-        let mut bytes = Vec::new();
-        message::write(&Message::Freeze, &mut bytes);
-        if by(ahead(PATIENCE_MS), self.stream.write_all(&bytes)).await.is_none_or(|r| r.is_err()) {
-            return Ok(());
+    /// Until the connection ends, or the predecessor, which lives, can't be followed.
+    async fn follow(&mut self, hub: &Shared, serve: &impl Fn()) -> Result<(), String> {
+        let mut bytes = vec![0; PIECE];
+        let ready = async {
+            while hub.borrow().core.fresh() {
+                Timer::at(ahead(5)).await;
+            }
+            None
+        };
+        // It has nothing to say until it is asked, but it may end.
+        match future::or(ready, async { Some(self.stream.read(&mut bytes).await) }).await {
+            None => {}
+            Some(Ok(n)) if n > 0 => {
+                return Err("handover: the process that is there speaks out of turn".into())
+            }
+            Some(_) => return Ok(()),
         }
+        self.machine.ready();
+        let mut out = Vec::new();
+        message::write(&Message::Freeze, &mut out);
         let until = ahead(PATIENCE_MS);
-        let mut bytes = vec![0; PIECE];
         loop {
-            let serving = self.machine.stage() == Stage::Serving;
-            let read = match serving {
-                true => Some(self.stream.read(&mut bytes).await),
-                false => by(until, self.stream.read(&mut bytes)).await,
+            if !out.is_empty() {
+                // Few bytes, which go out whole. If nobody is there, the end of the connection says so.
+                let _ = by(ahead(PATIENCE_MS), self.stream.write_all(&out)).await;
+                out.clear();
+            }
+            let read = match self.machine.stage() {
+                Stage::Serving => Some(self.stream.read(&mut bytes).await),
+                _ => by(until, self.stream.read(&mut bytes)).await,
             };
             match read {
                 Some(Ok(n)) if n > 0 => self.reader.feed(&bytes[..n]),
@@ -419,21 +481,19 @@
                         let until = hub.clock.of_unix(key.until);
                         hub.tell(|core, now| core.enter(now, key, until));
                     }
-                    successor::Act::Free(key) => hub.borrow_mut().tell(|core, now| core.freed(now, &key)),
-                    successor::Act::Serve { standby, share } => {
-                        {
-                            let mut hub = hub.borrow_mut();
-                            hub.core.stand_by(standby);
-                            // Something is left for this one even if the other one has it all.
-                            hub.share(Some((1.0 - share).max(0.05)));
-                        }
-                        let mut taken = Vec::new();
-                        message::write(&Message::Taken, &mut taken);
-                        // Few bytes, which go out whole. If the predecessor is gone its end says so.
-                        let _ = by(ahead(PATIENCE_MS), self.stream.write_all(&taken)).await;
+                    successor::Act::Free(key) => {
+                        hub.borrow_mut().tell(|core, now| core.freed(now, &key));
+                    }
+                    successor::Act::Take { standby, share } => {
+                        let mut hub = hub.borrow_mut();
+                        hub.core.stand_by(standby);
+                        // Something is left for this one even if the other one has it all.
+                        hub.share(Some((1.0 - share).max(0.05)));
+                        message::write(&Message::Taken, &mut out);
+                    }
+                    successor::Act::Serve => {
                         log("handover: taken over, this process serves");
-                        fronts.open();
-                        serves();
+                        serve();
                     }
                 }
             }
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -172,8 +172,6 @@
     superseded: bool,
     /// Another process that comes to take over, as this one sees it.
     pub predecessor: Predecessor,
-    /// This process leaves, and no other one goes on in its place.
-    pub alone: Nudge,
     /// There is something to tell it.
     pub news: Nudge,
     /// What is being told it, in bytes.
@@ -199,7 +197,7 @@
 
 impl Hub {
     /// A hub for these settings.
-    pub fn new(tuning: Tuning, seed: u64, bounds: Bounds) -> Hub {
+    pub fn new(tuning: Tuning, seed: u64, salt: Salt, bounds: Bounds) -> Hub {
         let classes = classes(&tuning);
         let Tuning { settings, gauges: gauge_names, round, marked, uwsgi, .. } = tuning;
         let names: Vec<Rc<str>> = classes.iter().map(|c| c.name.clone()).collect();
@@ -214,7 +212,6 @@
             taking: false,
             superseded: false,
             predecessor: Predecessor::default(),
-            alone: Nudge::new(),
             news: Nudge::new(),
             telling: 0,
             pools: Pools::new(uwsgi.pools(), seed, clock.now()),
@@ -223,7 +220,7 @@
             effects: Vec::new(),
             // Not the same on each start: a processor may still run what the last process called so.
             names: RandomState::new().hash_one(seed),
-            salt: Salt([RandomState::new().hash_one(0), RandomState::new().hash_one(1)]),
+            salt,
             storing: Nudge::new(),
             clock,
             link: Link::new(),
--- a/node/tests/control.rs
+++ b/node/tests/control.rs
@@ -118,3 +118,16 @@
     processor.complete(&words[1], "fine", b"result");
     assert_eq!(gateway.receive()["result"]["doc"], base64(b"result"));
 }
+
+#[test]
+fn a_drain_after_a_standby_is_a_drain() {
+    let (mut node, _processor, mut gateway, door) = daily(json!({}));
+    assert_eq!(door.call("POST /standby").0, 200);
+    assert!(!healthy(&mut gateway));
+    node.signal("-TERM");
+    node.line("draining:");
+    assert_eq!(door.call("POST /standby").0, 200, "it may be said again");
+    assert!(!healthy(&mut gateway));
+    assert_eq!(gateway.receive()["method"], "goaway");
+    assert!(node.wait().success());
+}
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -3,8 +3,13 @@
 mod common;
 
 use common::*;
+use pipitlever_handover::message::{self, Listening, Message, Reader, Welcome};
+use rustix::fd::AsFd;
+use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use serde_json::{json, Value};
-use std::io::{Read, Write};
+use std::io::{IoSlice, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::TcpListener;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 
@@ -224,14 +229,14 @@
     let mut place = Place::new("strangers");
     let (mut old, _before, _) = place.first();
     let mut gateway = old.ready();
-    for words in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"plhand\x07\x00", b"plhand\x01\x00\xff\xff\xff\xff", b""] {
+    for words in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"plhand\x07\x00", b"plhand\x02\x00\xff\xff\xff\xff", b""] {
         let mut stream = UnixStream::connect(place.socket()).unwrap();
         stream.write_all(words).unwrap();
         stream.shutdown(std::net::Shutdown::Write).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).unwrap();
-        assert!(answer.starts_with(b"plhand\x01\x00"), "{answer:?}");
+        assert!(answer.starts_with(b"plhand\x02\x00"), "{answer:?}");
         gateway.send("alive", json!({}));
         assert_eq!(gateway.receive()["result"]["healthy"], true);
     }
@@ -251,5 +256,148 @@
     });
     let config = json!({"listen": place.listen, "processor": nobody().to_string()});
     let (code, log) = Node::fails(config, &[("TMPDIR", place.folder.0.to_str().unwrap())]);
-    assert!(code == Some(1) && log.contains("it speaks version 9, this is 1"), "{code:?} {log}");
+    assert!(code == Some(1) && log.contains("it speaks version 9, this is 2"), "{code:?} {log}");
+}
+
+/// What a peer says next, until it says what is waited for.
+fn hear(stream: &mut UnixStream, reader: &mut Reader, wanted: impl Fn(&Message) -> bool) {
+    let mut bytes = [0; 4096];
+    loop {
+        while let Some(message) = reader.message().expect("a message") {
+            if wanted(&message) {
+                return;
+            }
+        }
+        let read = stream.read(&mut bytes).expect("more");
+        assert!(read > 0, "the connection ended");
+        reader.feed(&bytes[..read]);
+    }
+}
+
+fn say(stream: &mut UnixStream, message: &Message) {
+    let mut bytes = Vec::new();
+    message::write(message, &mut bytes);
+    stream.write_all(&bytes).unwrap();
+}
+
+/// The connection can end while both processes live: then the one that has yielded must not serve beside the other.
+#[test]
+fn a_process_that_has_yielded_serves_again_only_once_the_other_is_dead() {
+    let mut place = Place::new("yielded");
+    let (mut old, _before, door) = place.first();
+    let mut stream = UnixStream::connect(place.socket()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(&message::greeting()).unwrap();
+    let mut reader = Reader::default();
+    hear(&mut stream, &mut reader, |m| matches!(m, Message::Welcome(_)));
+    say(&mut stream, &Message::Freeze);
+    hear(&mut stream, &mut reader, |m| matches!(m, Message::End { .. }));
+    say(&mut stream, &Message::Taken);
+    hear(&mut stream, &mut reader, |m| *m == Message::Yielded);
+    // This test lives on. Each call lets the node come round to what it has noticed.
+    drop(stream);
+    for _ in 0..20 {
+        assert_eq!(door.call("GET /status").0, 503);
+    }
+    old.signal("-TERM");
+    old.line("leaving: ");
+    assert_eq!(old.wait().code(), Some(0));
+}
+
+/// The same the other way round: a predecessor that lives and breaks off serves on, so its successor ends.
+#[test]
+fn a_successor_ends_when_a_living_predecessor_breaks_off() {
+    let place = Place::new("breaks-off");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let mut processor = Processor::new();
+    let config = json!({"processor": processor.address().to_string(), "listen": at.to_string()});
+    let socket = place.folder.0.join(format!("pipitlever-{}.sock", at.to_string().replace(':', "-")));
+    let offer = UnixListener::bind(socket).unwrap();
+    let predecessor = std::thread::spawn(move || {
+        let mut stream = offer.accept().unwrap().0;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let listening = vec![Listening { protocol: "json-rpc".into(), at }];
+        let mut bytes = message::greeting();
+        message::write(&Message::Welcome(Welcome { name: "n1".into(), listening, salt: [1, 2] }), &mut bytes);
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        let passed = [listener.as_fd()];
+        assert!(control.push(SendAncillaryMessage::ScmRights(&passed)));
+        sendmsg(&stream, &[IoSlice::new(&bytes)], &mut control, SendFlags::empty()).unwrap();
+        hear(&mut stream, &mut Reader::default(), |m| *m == Message::Freeze);
+    });
+    let starter = std::thread::spawn({
+        let tmp = place.folder.0.to_str().unwrap().to_owned();
+        move || Node::fails(config, &[("TMPDIR", &tmp)])
+    });
+    processor.up();
+    predecessor.join().unwrap();
+    let (code, log) = starter.join().unwrap();
+    assert!(code == Some(1) && log.contains("has broken off"), "{code:?} {log}");
+}
+
+#[test]
+fn after_a_failed_replacement_another_one_can_follow() {
+    let mut place = Place::new("again");
+    let (mut old, mut before, _) = place.first();
+    old.ready();
+    let (mut new, ..) = place.next();
+    new.signal("-KILL");
+    new.wait();
+    old.line("handover: the process that took over is gone");
+    let mut gateway = old.ready();
+    gateway.send("rota-view", work(9000, None, b"view"));
+    let (view, _) = before.command();
+    let (third, mut after, _) = place.next();
+    before.complete(&view[1], "fine", b"viewed");
+    assert_eq!(gateway.receive()["method"], "goaway");
+    assert_eq!(served(&gateway.receive()), base64(b"viewed"));
+    old.signal("-TERM");
+    assert_eq!(old.wait().code(), Some(0));
+    let mut gateway = third.ready();
+    gateway.send("rota-view", work(9000, None, b"view"));
+    assert_eq!(after.command().1, b"view");
+}
+
+#[test]
+fn the_longest_key_passes_on_too() {
+    let mut place = Place::new("long-key");
+    let (old, mut before, _) = place.first();
+    let mut early = old.ready();
+    let key = "k".repeat(128);
+    early.send("swap-confirm", work(9000, Some(&key), b"body"));
+    let (run, _) = before.command();
+    before.complete(&run[1], "fine", b"once");
+    assert_eq!(served(&early.receive()), base64(b"once"));
+    let (new, _after, _) = place.next();
+    let mut late = new.gateway();
+    late.send("swap-confirm", work(9000, Some(&key), b"body"));
+    assert_eq!(served(&late.receive()), base64(b"once"));
+}
+
+#[test]
+fn a_new_configuration_during_a_replacement_is_taken_by_either_process() {
+    let mut place = Place::new("reload");
+    let (mut old, mut before, _) = place.first();
+    old.ready();
+    let (mut new, mut after, door) = place.start();
+    old.line("handover: a process has come");
+    // One before its yes, one that is about to yield.
+    for node in [&mut new, &mut old] {
+        node.reload(json!({"ledger": nobody().to_string()}));
+        assert_eq!(node.line("reload: "), "reload: done");
+    }
+    let mut early = old.ready();
+    early.send("swap-confirm", work(9000, Some("k"), b"body"));
+    let (run, _) = before.command();
+    after.up();
+    new.line("handover: taken over");
+    old.reload(json!({"ledger": "127.77.0.2:9"}));
+    assert_eq!(old.line("reload: "), "reload: done");
+    let mut late = new.ready();
+    late.send("swap-confirm", work(9000, Some("k"), b"body"));
+    before.complete(&run[1], "fine", b"once");
+    assert_eq!(served(&late.receive()), base64(b"once"));
+    assert_eq!(door.figure("cfg_accepted"), Some(1));
 }
