Decide a view of the fleet without I/O, and simulate it with faults

Need: a node knows one other process, its own predecessor or successor. Whether a neighbour is up, cut off or back from the dead, nobody in the fleet can say (docs/fleet.md has the design and what was rejected).

Nothing of it is in the node yet.

--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,32 @@
+//! A view of the fleet that its nodes keep themselves, through joins, crashes and partitions: who is a member, where, and in
+//! which state. It does no I/O and has no clock: it is told times, handed datagrams and bytes, and yields those to be sent.
+//!
+//! `docs/fleet.md` has the design, what was rejected, and the figures.
+//!
+//! - `record`: what is said of a member, and how two pieces of news about one are joined.
+//! - `members`: the bounded table of them, its digests, and what is forgotten when.
+//! - `ring`, `probe`: whom to probe next, and how one probe goes.
+//! - `suspicion`, `health`: how long a suspect has, and how far this node trusts itself.
+//! - `spread`: what travels with other messages, and how often.
+//! - `sync`: two views that differ are made equal over a connection.
+//! - `own`: this node's record: incarnations, refutation, and two processes of one name.
+//! - `node`: all of it together, [`Fleet`].
+
+pub mod event;
+pub mod health;
+pub mod members;
+pub mod message;
+mod node;
+pub mod own;
+mod probe;
+pub mod record;
+pub mod ring;
+pub mod rules;
+pub mod spread;
+pub mod suspicion;
+pub mod sync;
+
+pub use node::Fleet;
+
+/// A reading of a clock, or a span of it, in microseconds.
+pub type Micros = i64;
--- /dev/null
+++ b/fleet/src/message.rs
@@ -0,0 +1,241 @@
+//! What members say to each other: postcard, with a checksum, the version and the fleet's name.
+
+use crate::record::{Record, MOST_NAME};
+use postcard::accumulator::{CobsAccumulator, FeedResult};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// How each message begins.
+const MAGIC: [u8; 4] = *b"plfl";
+/// The version spoken here. Another one is not understood, nor answered.
+pub const VERSION: u16 = 1;
+/// The longest frame on a connection, in bytes.
+pub const MOST_FRAME: usize = 16 << 10;
+/// Bytes of frames beside their content: the checksum, and one in 254 of the framing.
+const FRAMING: usize = 256;
+
+/// News about a member, and who says it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// The member.
+    pub name: String,
+    /// What is said of it.
+    pub record: Record,
+    /// Who had no answer of it, where it is a suspect.
+    pub by: Option<String>,
+    /// For how long it has been so, in seconds, where it is down or has left: times that need no common clock.
+    pub age_s: u32,
+}
+
+impl Update {
+    /// Whether one may hold it.
+    pub fn sane(&self) -> bool {
+        let name = |name: &str| !name.is_empty() && name.len() <= MOST_NAME;
+        name(&self.name) && self.by.as_deref().is_none_or(name) && self.record.sane()
+    }
+}
+
+/// What a datagram is about.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Is this one there? Whoever is there, if no name is given.
+    Ping {
+        /// The probe.
+        seq: u32,
+        /// Who is asked. Another one at its address does not answer for it.
+        to: Option<String>,
+    },
+    /// It is.
+    Ack {
+        /// The probe.
+        seq: u32,
+    },
+    /// Asks for a probe through the one that is asked.
+    Ask {
+        /// The probe of the one that asks.
+        seq: u32,
+        /// Who is to be probed, and where.
+        name: String,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// It was asked to, and the probed one has answered.
+    Vouch {
+        /// The probe of the one that asked.
+        seq: u32,
+    },
+    /// It was asked to, and the probed one has not answered yet.
+    Silence {
+        /// The probe of the one that asked.
+        seq: u32,
+    },
+    /// There is news, no more.
+    News,
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packet {
+    /// Who says it. Its own record, so that each is heard of directly.
+    pub from: Update,
+    /// The digest of the sender's view.
+    pub digest: u64,
+    /// What it is about.
+    pub body: Body,
+    /// News that travels with it.
+    pub news: Vec<Update>,
+}
+
+/// What is said on a connection, by turns, until both views are equal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The one that connects: who it is, and the digest of each part of its view.
+    Parts {
+        /// Its own record.
+        from: Update,
+        /// By part.
+        digests: Vec<u64>,
+    },
+    /// The other one: who it is, and which parts differ, a bit each.
+    Differ {
+        /// Its own record.
+        from: Update,
+        /// The parts.
+        parts: u64,
+    },
+    /// Members of the parts that differ; a piece of them.
+    Members(Vec<Update>),
+    /// Those were all.
+    End,
+}
+
+/// Why something can't be understood.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// It is damaged, cut, or no message at all.
+    Malformed,
+    /// It is of another version.
+    Version(u16),
+    /// It is of another fleet.
+    Fleet(String),
+}
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Broken::Malformed => write!(f, "it can't be read"),
+            Broken::Version(version) => write!(f, "it is of version {version}, this is {VERSION}"),
+            Broken::Fleet(fleet) => write!(f, "it is of fleet {fleet}"),
+        }
+    }
+}
+
+/// Finds what was spoilt on its way.
+static CRC: crc::Crc<u32> = crc::Crc::<u32>::new(&crc::CRC_32_ISCSI);
+
+/// What stands before each message.
+type Head<'a> = ([u8; 4], u16, &'a str);
+
+fn sealed<T: Serialize>(fleet: &str, content: &T) -> Vec<u8> {
+    let head: Head = (MAGIC, VERSION, fleet);
+    // Into memory, which takes all that is written to it.
+    postcard::to_allocvec_crc32(&(head, content), CRC.digest()).unwrap_or_default()
+}
+
+fn opened<'a, T: Deserialize<'a>>(fleet: &str, bytes: &'a [u8]) -> Result<T, Broken> {
+    // Before the checksum, which another version may have elsewhere.
+    let ((magic, version), _) =
+        postcard::take_from_bytes::<([u8; 4], u16)>(bytes).map_err(|_| Broken::Malformed)?;
+    if magic != MAGIC {
+        return Err(Broken::Malformed);
+    }
+    if version != VERSION {
+        return Err(Broken::Version(version));
+    }
+    let (((_, _, theirs), content), rest): ((Head, T), &[u8]) =
+        postcard::take_from_bytes_crc32(bytes, CRC.digest()).map_err(|_| {
+            // Whoever is of another fleet may hold other things, too.
+            let head = postcard::take_from_bytes::<Head>(bytes);
+            match head {
+                Ok(((_, _, theirs), _)) if theirs != fleet && theirs.len() <= MOST_NAME => {
+                    Broken::Fleet(theirs.to_owned())
+                }
+                _ => Broken::Malformed,
+            }
+        })?;
+    if theirs != fleet {
+        return Err(Broken::Fleet(theirs.chars().take(MOST_NAME).collect()));
+    }
+    if !rest.is_empty() {
+        return Err(Broken::Malformed);
+    }
+    Ok(content)
+}
+
+impl Packet {
+    /// As a datagram of this fleet.
+    pub fn write(&self, fleet: &str) -> Vec<u8> {
+        sealed(fleet, self)
+    }
+
+    /// A datagram of this fleet.
+    pub fn read(fleet: &str, bytes: &[u8]) -> Result<Packet, Broken> {
+        let packet: Packet = opened(fleet, bytes)?;
+        let names = match &packet.body {
+            Body::Ping { to, .. } => to.as_ref(),
+            Body::Ask { name, .. } => Some(name),
+            _ => None,
+        };
+        let sane = names.is_none_or(|n| !n.is_empty() && n.len() <= MOST_NAME);
+        let sane = sane && packet.from.sane() && packet.news.iter().all(Update::sane);
+        sane.then_some(packet).ok_or(Broken::Malformed)
+    }
+}
+
+/// Bytes that a piece of news takes in a message.
+pub fn length(update: &Update) -> usize {
+    postcard::experimental::serialized_size(update).unwrap_or(usize::MAX)
+}
+
+/// Appends a frame for a connection of this fleet.
+pub fn frame(out: &mut Vec<u8>, fleet: &str, frame: &Frame) {
+    // Sealed as a datagram is, and told apart by postcard's own framing.
+    out.extend(postcard::to_allocvec_cobs(&sealed(fleet, frame)).unwrap_or_default());
+}
+
+/// The frames of a connection, fed in pieces.
+pub struct Frames {
+    gathered: Box<CobsAccumulator<{ MOST_FRAME + FRAMING }>>,
+    waiting: Vec<u8>,
+}
+
+impl Default for Frames {
+    fn default() -> Self {
+        Frames { gathered: Box::new(CobsAccumulator::new()), waiting: Vec::new() }
+    }
+}
+
+impl Frames {
+    /// Takes in what was read; no more of it is to be fed until [`Frames::next`] has nothing left.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.waiting.extend_from_slice(bytes);
+    }
+
+    /// The next frame that is whole.
+    pub fn next(&mut self, fleet: &str) -> Result<Option<Frame>, Broken> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (sealed, rest) = match self.gathered.feed::<Vec<u8>>(&waiting) {
+            FeedResult::Consumed => return Ok(None),
+            FeedResult::OverFull(_) | FeedResult::DeserError(_) => return Err(Broken::Malformed),
+            FeedResult::Success { data, remaining } => (data, remaining.to_vec()),
+        };
+        self.waiting = rest;
+        let frame: Frame = opened(fleet, &sealed)?;
+        let sane = match &frame {
+            Frame::Parts { from, .. } | Frame::Differ { from, .. } => from.sane(),
+            Frame::Members(members) => members.iter().all(Update::sane),
+            Frame::End => true,
+        };
+        sane.then_some(Some(frame)).ok_or(Broken::Malformed)
+    }
+}
--- /dev/null
+++ b/rig/examples/fleet.rs
@@ -0,0 +1,151 @@
+//! Measures the fleet in the simulation: `cargo run --release -p pipitlever-rig --example fleet -- CASE SIZE SEEDS`.
+
+use pipitlever_fleet::event::Event;
+use pipitlever_fleet::record::State;
+use pipitlever_fleet::rules::Rules;
+use pipitlever_rig::sim::World;
+
+const S: i64 = 1_000_000;
+
+fn started(rules: &Rules, size: usize, seed: u64) -> World {
+    let mut world = World::new(rules.clone(), size, seed);
+    world.record = false;
+    for i in 0..size {
+        world.start(i, &[0, 1]);
+        world.run(2_000);
+    }
+    let took = world.wait(120 * S, World::settled);
+    assert!(took.is_some(), "the fleet does not settle at the start: size={size} seed={seed}");
+    world
+}
+
+fn percent(all: &mut [i64], p: f64) -> f64 {
+    all.sort();
+    let at = ((all.len() as f64 * p).ceil() as usize).clamp(1, all.len()) - 1;
+    all[at] as f64 / 1e6
+}
+
+fn line(what: &str, size: usize, all: &mut [i64]) {
+    let (p50, p99, most) = (percent(all, 0.5), percent(all, 0.99), percent(all, 1.0));
+    println!("{what} size={size} n={} p50={p50:.2} p99={p99:.2} most={most:.2}", all.len());
+}
+
+fn main() {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let [case, size, seeds, more @ ..] = &words[..] else {
+        return eprintln!("say a case (start, crash, heal, rest, wrong), a size and a number of seeds");
+    };
+    let (size, seeds): (usize, u64) = (size.parse().unwrap(), seeds.parse().unwrap());
+    let rules = Rules::default();
+    match case.as_str() {
+        "start" => {
+            let mut took = Vec::new();
+            for seed in 0..seeds {
+                let mut world = World::new(rules.clone(), size, seed);
+                (0..size).for_each(|i| world.start(i, &[0, 1]));
+                took.push(world.wait(120 * S, World::settled).unwrap_or(999 * S));
+            }
+            line("start-all-equal", size, &mut took);
+        }
+        "crash" => {
+            let (mut first, mut all, mut equal) = (Vec::new(), Vec::new(), Vec::new());
+            for seed in 0..seeds {
+                let mut world = started(&rules, size, seed);
+                let victim = size / 2;
+                let name = format!("n{victim}");
+                world.crash(victim);
+                let knows = |w: &World, i: usize| w.held(i, &name) == Some(State::Down);
+                let others: Vec<usize> = world.running();
+                let one = world.wait(60 * S, |w| others.iter().any(|i| knows(w, *i))).unwrap_or(999 * S);
+                let rest = world.wait(60 * S, |w| others.iter().all(|i| knows(w, *i))).unwrap_or(999 * S);
+                first.push(one);
+                all.push(one + rest);
+                equal.push(one + rest + world.wait(60 * S, World::settled).unwrap_or(999 * S));
+            }
+            line("crash-first", size, &mut first);
+            line("crash-all-know", size, &mut all);
+            line("crash-all-equal", size, &mut equal);
+        }
+        "heal" => {
+            let mut took = Vec::new();
+            for seed in 0..seeds {
+                let mut world = started(&rules, size, seed);
+                world.split(|i| i % 2);
+                world.run(60 * S);
+                let halves = (0..size).all(|i| {
+                    world.fleet(i).is_some_and(|f| {
+                        f.members().taking_part() == size.div_ceil(2) || f.members().taking_part() == size / 2
+                    })
+                });
+                assert!(halves, "the halves hold each other dead: {seed}");
+                world.heal();
+                let t = world.wait(120 * S, World::settled).unwrap_or(999 * S);
+                took.push(t);
+            }
+            line("heal-all-equal", size, &mut took);
+        }
+        "rest" => {
+            let loss: f64 = more.first().map_or(0.0, |l| l.parse().unwrap());
+            for seed in 0..seeds {
+                let mut world = started(&rules, size, seed);
+                world.net.loss = loss;
+                world.run(10 * S);
+                let before: Vec<_> = (0..size).map(|i| world.sent(i)).collect();
+                world.run(60 * S);
+                let rate = |of: fn(pipitlever_rig::sim::Sent) -> u64| {
+                    let all: Vec<u64> = (0..size).map(|i| of(world.sent(i)) - of(before[i])).collect();
+                    (
+                        all.iter().sum::<u64>() as f64 / size as f64 / 60.0,
+                        *all.iter().max().unwrap() as f64 / 60.0,
+                    )
+                };
+                println!("rest size={size} loss={loss} seed={seed} bytes/s mean,most={:.0?} datagrams/s={:.1?} streamed/s={:.0?}",
+                    rate(|s| s.bytes), rate(|s| s.datagrams), rate(|s| s.streamed));
+                let before: Vec<_> = (0..size).map(|i| world.sent(i)).collect();
+                for i in 0..size / 5 {
+                    world.crash(i * 5 + 2);
+                }
+                let took = world.wait(60 * S, World::settled);
+                let live = world.running();
+                let sent: u64 = live
+                    .iter()
+                    .map(|i| {
+                        world.sent(*i).bytes + world.sent(*i).streamed
+                            - before[*i].bytes
+                            - before[*i].streamed
+                    })
+                    .sum();
+                let s = took.unwrap_or(60 * S) as f64 / 1e6;
+                println!(
+                    "fifth size={size} seed={seed} settled after {s:.2} s, bytes/s meanwhile={:.0}",
+                    sent as f64 / live.len() as f64 / s
+                );
+            }
+        }
+        "wrong" => {
+            let loss: f64 = more[0].parse().unwrap();
+            let hours: f64 = more[1].parse().unwrap();
+            for seed in 0..seeds {
+                let mut world = started(&rules, size, seed);
+                world.net.loss = loss;
+                for i in 0..size / 20 {
+                    world.lag(i * 20 + 3, 300_000);
+                }
+                world.record = true;
+                let (mut down, mut suspect) = (0, 0);
+                for _ in 0..(hours * 60.0) as usize {
+                    world.run(60 * S);
+                    for (_, _, event) in world.history.drain(..) {
+                        match event {
+                            Event::Changed { state: State::Down, .. } => down += 1,
+                            Event::Changed { state: State::Suspect, .. } => suspect += 1,
+                            _ => {}
+                        }
+                    }
+                }
+                println!("wrong size={size} loss={loss} hours={hours} seed={seed} down={down} suspect={suspect} (at all nodes)");
+            }
+        }
+        _ => eprintln!("no case {case}"),
+    }
+}
