--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ring;
 pub mod rules;
 pub mod spread;
+pub mod standing;
 pub mod suspicion;
 pub mod sync;
 
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -5,7 +5,7 @@
 use crate::health::Health;
 use crate::members::Members;
 use crate::message::{length, Body, Broken, Packet, Update};
-use crate::own::{Own, Reply};
+use crate::own::{Own, Passed, Reply, MOST_CONTACTS};
 use crate::probe::{Help, Next, Probe};
 use crate::record::{Record, Standing, State};
 use crate::ring::Ring;
@@ -46,6 +46,7 @@
     own: Own,
     members: Members,
     seeds: Vec<SocketAddr>,
+    contacts: Vec<SocketAddr>,
     rng: Rng,
     seq: u32,
     health: Health,
@@ -71,8 +72,9 @@
     sync: Option<SocketAddr>,
     met: bool,
     cut_off: bool,
-    /// When it wanted to be woken.
+    /// When it said last that it wants to be woken, and when it was last there.
     expected: Option<Micros>,
+    there: Micros,
     out: Vec<Datagram>,
     events: VecDeque<Event>,
     lost_events: u64,
@@ -92,6 +94,7 @@
             own,
             members,
             seeds: Vec::new(),
+            contacts: Vec::new(),
             seq: rng.u32(..),
             rng,
             health: Health::default(),
@@ -114,6 +117,7 @@
             met: false,
             cut_off: false,
             expected: None,
+            there: now,
             out: Vec::new(),
             events: VecDeque::new(),
             lost_events: 0,
@@ -126,6 +130,19 @@
         self.seeds = seeds;
     }
 
+    /// Where some members were a moment ago: asked once.
+    pub fn contacts(&mut self, contacts: Vec<SocketAddr>) {
+        self.contacts = contacts;
+    }
+
+    /// What a process goes on with that takes this one's place.
+    pub fn pass_on(&self) -> Passed {
+        let others =
+            self.members.iter().filter(|(name, m)| *name != self.name && m.record.state == State::Alive);
+        let contacts = others.map(|(_, m)| m.record.details.address).take(MOST_CONTACTS).collect();
+        Passed { record: self.own.record.clone(), contacts }
+    }
+
     /// Takes over times and bounds.
     pub fn set_rules(&mut self, rules: Rules) {
         self.rules = rules;
@@ -188,6 +205,11 @@
         (self.events.drain(..).collect(), std::mem::take(&mut self.lost_events))
     }
 
+    /// Whether there is a member to be connected to.
+    pub fn wants_sync(&self) -> bool {
+        self.sync.is_some()
+    }
+
     /// A member to be connected to, as views differ. The wish is taken with this.
     pub fn take_sync(&mut self) -> Option<SocketAddr> {
         self.sync.take()
@@ -229,8 +251,15 @@
         }
     }
 
-    /// When it wants to be woken.
-    pub fn next_wake(&self) -> Micros {
+    /// When it wants to be woken. To be asked after all that it is told: it holds its driver to the last answer, to know when it was
+    /// not there.
+    pub fn next_wake(&mut self) -> Micros {
+        let at = self.due();
+        self.expected = Some(at.max(self.there));
+        at
+    }
+
+    fn due(&self) -> Micros {
         let probe = self.probe.as_ref().map_or(self.next_probe, |p| p.due().min(p.end()));
         let silent = self.help.iter().filter(|h| !h.silent).map(|h| h.silent_at).min();
         let gossip = (!self.spread.is_empty() && !self.ring.is_empty()).then_some(self.next_gossip);
@@ -249,12 +278,12 @@
         self.reaches(now);
         self.gossips(now);
         self.tidies(now);
-        self.expected = Some(self.next_wake());
         self.watch();
     }
 
     /// Notices that this node was not there: nobody is to be blamed for what it has missed.
     fn present(&mut self, now: Micros) {
+        self.there = now;
         let Some(late) = self.expected.map(|at| now - at) else { return };
         if late <= self.rules.probe / 2 {
             return;
@@ -487,7 +516,9 @@
             .filter(|(_, m)| m.record.state.takes_part())
             .map(|(_, m)| m.record.details.address)
             .collect();
-        for seed in self.seeds.clone() {
+        let asked: Vec<SocketAddr> =
+            std::mem::take(&mut self.contacts).into_iter().chain(self.seeds.clone()).collect();
+        for seed in asked {
             if !addresses.contains(&seed) {
                 self.send(now, seed, Body::Ping { seq, to: None }, None);
             }
--- a/fleet/src/own.rs
+++ b/fleet/src/own.rs
@@ -2,11 +2,38 @@
 
 use crate::record::{Details, Record, Rival, Standing, State, MOST_RIVALS};
 use crate::Micros;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Tokens of processes that were out-bid; a fleet that restarts for ever must not fill this.
 const MOST_OUTBID: usize = 8;
 
+/// Members that a process passes on to the one that goes on in its place.
+pub const MOST_CONTACTS: usize = 32;
+
+/// What one process of a node passes on to the next, so that the two are one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Passed {
+    /// What it said last of itself.
+    pub record: Record,
+    /// Where some members are.
+    pub contacts: Vec<SocketAddr>,
+}
+
+impl Passed {
+    /// As bytes.
+    pub fn write(&self) -> Vec<u8> {
+        // Into memory, which takes all that is written to it.
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+
+    /// What these bytes say, if one may hold it.
+    pub fn read(bytes: &[u8]) -> Option<Passed> {
+        let passed: Passed = postcard::from_bytes(bytes).ok()?;
+        (passed.record.sane() && passed.contacts.len() <= MOST_CONTACTS).then_some(passed)
+    }
+}
+
 /// What comes of news about this node's own name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/handover/src/message.rs
+++ b/handover/src/message.rs
@@ -6,13 +6,15 @@
 use std::net::SocketAddr;
 
 /// The version spoken here. Another one is not understood.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 /// How each side greets the other, before its version (two bytes, little endian).
 const GREETING: &[u8; 6] = b"plhand";
 /// The longest frame, in bytes: a key, a result and some.
 pub const MOST_FRAME: usize = 1 << 20;
 /// The longest key, in bytes; the fronts read far shorter ones. A longer one would end the handover, never be left out.
 pub const MOST_KEY: usize = 4096;
+/// The longest that is passed on of the fleet, in bytes: the node's own record, and some addresses.
+pub const MOST_MEMBER: usize = 16 << 10;
 /// The longest result that is passed on, in bytes: it fits into a frame with its key.
 pub const MOST_RESULT: usize = MOST_FRAME - MOST_KEY - 1024;
 
@@ -84,7 +86,10 @@
     /// Successor: it has all keys.
     Taken,
     /// Predecessor: it accepts nothing more, and the other one is the authority for keys. It is so until that one's death.
-    Yielded,
+    Yielded {
+        /// The node's part in the fleet, which is the other one's from now on; nothing if it has none.
+        member: Option<Vec<u8>>,
+    },
 }
 
 /// Why a peer can't be understood; its connection has to end.
@@ -173,6 +178,7 @@
         let sane = match &message {
             Message::Key(key) => key.key.len() <= MOST_KEY,
             Message::Free(key) => key.len() <= MOST_KEY,
+            Message::Yielded { member: Some(member) } => member.len() <= MOST_MEMBER,
             Message::End { share, .. } => (0.0..=1.0).contains(share),
             _ => true,
         };
--- a/handover/src/successor.rs
+++ b/handover/src/successor.rs
@@ -35,8 +35,8 @@
         /// The share of the processor's memory that the predecessor may still take.
         share: f64,
     },
-    /// Accept, and say yes to operators.
-    Serve,
+    /// Accept, and say yes to operators. What the predecessor passes on of the fleet.
+    Serve(Option<Vec<u8>>),
     /// The predecessor doesn't keep to the protocol, and lives: end, so that it serves on as if nothing had been.
     GiveUp(&'static str),
 }
@@ -98,9 +98,9 @@
                 self.stage = Stage::Taking;
                 Act::Take { standby, share }
             }
-            (Stage::Taking, Message::Yielded) => {
+            (Stage::Taking, Message::Yielded { member }) => {
                 self.stage = Stage::Serving;
-                Act::Serve
+                Act::Serve(member)
             }
             _ => Act::GiveUp("it said something that is not its turn to say"),
         }
--- a/handover/tests/protocol.rs
+++ b/handover/tests/protocol.rs
@@ -18,7 +18,7 @@
         Message::Free("k".into()),
         Message::End { standby: true, share: 0.5 },
         Message::Taken,
-        Message::Yielded,
+        Message::Yielded { member: Some(vec![7; 40]) },
     ]
 }
 
@@ -127,7 +127,7 @@
     assert!(matches!(s.heard(open.clone()), Act::Enter(_)));
     assert!(matches!(s.heard(end.clone()), Act::GiveUp(_)));
     assert_eq!([{ s }.lost(true), { s }.lost(false)], [Lost::Settled, Lost::GiveUp]);
-    assert_eq!(s.heard(yielded.clone()), Act::Serve);
+    assert_eq!(s.heard(yielded.clone()), Act::Serve(Some(vec![7; 40])));
     assert!(matches!(s.heard(open.clone()), Act::Enter(_)));
     assert!(!s.asks_for_death(), "it serves, whatever becomes of the other one");
     assert_eq!(s.lost(false), Lost::Settled);
--- a/node/src/core/interleavings.rs
+++ b/node/src/core/interleavings.rs
@@ -207,7 +207,7 @@
                     act => {
                         assert_eq!(act, predecessor::Act::Yield);
                         self.yielded = true;
-                        self.to_new.push_back(Message::Yielded);
+                        self.to_new.push_back(Message::Yielded { member: None });
                     }
                 },
                 None => {
@@ -232,7 +232,7 @@
                     }
                     successor::Act::Free(key) => self.new.core.freed(now, &key),
                     successor::Act::Take { .. } => self.to_old.push_back(Message::Taken),
-                    act => assert_eq!(act, successor::Act::Serve),
+                    act => assert_eq!(act, successor::Act::Serve(None)),
                 },
                 None => {
                     self.alone = true;
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -435,6 +435,11 @@
         std::mem::replace(&mut self.standby, standby) != standby
     }
 
+    /// Whether the module refuses work of low rank, or all.
+    pub fn crowded(&self) -> bool {
+        self.module.as_ref().is_some_and(|m| m.mode() != Mode::Normal)
+    }
+
     /// Whether operators want no new clients.
     pub fn standing_by(&self) -> bool {
         self.standby
--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -89,6 +89,16 @@
                 format!("{place} max_mb={mb} each={} wait={}", s.each, s.wait)
             });
             println!("store={store}");
+            let fleet = c.fleet.map_or("off".into(), |f| {
+                let local = [f.bind, f.advertise].iter().chain(&f.seeds).all(|at| at.ip().is_loopback());
+                let network = if local { "loopback" } else { "trusted (nothing is signed or secret)" };
+                let seeds = f.seeds.len();
+                format!(
+                    "{} bind={} advertise={} seeds={seeds} network={network}",
+                    f.name, f.bind, f.advertise
+                )
+            });
+            println!("fleet={fleet}");
             Ok(0)
         }
         "import" if files.is_empty() => Err("import: no file named".into()),
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -1,6 +1,7 @@
 //! The node's configuration, read at the start, and for its parties' addresses on SIGHUP.
 
 use super::operator::{Capture, Operator, Store};
+use crate::net::fleet;
 use crate::net::hub::{Parties, Tuning};
 use crate::net::routes::{Backend, Uwsgi};
 use pipitlever_settings::Config as SettingsConfig;
@@ -81,6 +82,8 @@
     pub capture: Option<Capture>,
     /// The store of keyed requests, if there is to be one.
     pub store: Option<Store>,
+    /// The node's part in a fleet, if it is in one.
+    pub fleet: Option<fleet::Settings>,
 }
 
 /// The first key that a file has and another lacks, with its path. A file that was cut and mended, or written by half, still
@@ -137,6 +140,7 @@
             let file = Operator::read(&text, &config.tuning.classes).map_err(|e| format!("{path}: {e}"))?;
             config.parties.pools = file.uwsgi.pools();
             (config.tuning.uwsgi, config.capture, config.store) = (file.uwsgi, file.capture, file.store);
+            config.fleet = file.fleet;
         }
         config.complete()?;
         Ok(config)
@@ -187,6 +191,7 @@
             shape,
             capture: None,
             store: None,
+            fleet: None,
         })
     }
 }
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod config;
 mod explain;
+mod fleet;
 pub mod import;
 pub mod operator;
 mod reload;
--- a/node/src/life/operator.rs
+++ b/node/src/life/operator.rs
@@ -1,6 +1,8 @@
 //! The operator's file: one TOML file with a section for each subsystem, read strictly. An unknown key or a bad
 //! value is an error that names its line.
 
+use super::fleet::FleetSection;
+use crate::net::fleet;
 use crate::net::routes::{Backend, Named, Route, Uwsgi};
 use pipitlever_pools::pool::{Member, Use};
 use serde::Deserialize;
@@ -92,6 +94,8 @@
     pub capture: Option<Capture>,
     /// The store of keyed requests, if there is to be one.
     pub store: Option<Store>,
+    /// The node's part in a fleet, if it is in one.
+    pub fleet: Option<fleet::Settings>,
 }
 
 #[derive(Deserialize)]
@@ -100,6 +104,7 @@
     uwsgi: Option<UwsgiSection>,
     capture: Option<CaptureSection>,
     store: Option<StoreSection>,
+    fleet: Option<FleetSection>,
     #[serde(default)]
     pool: Vec<PoolSection>,
 }
@@ -252,7 +257,7 @@
 }
 
 /// Names the line of a place in the text.
-fn line(text: &str, at: usize, what: &str) -> String {
+pub(super) fn line(text: &str, at: usize, what: &str) -> String {
     let line = text.bytes().take(at).filter(|&b| b == b'\n').count() + 1;
     format!("line {line}: {what}")
 }
@@ -267,12 +272,13 @@
             file.uwsgi.map(|section| section.read(text, classes, named)).transpose()?.unwrap_or_default();
         let capture = file.capture.map(|section| section.read(text)).transpose()?;
         let store = file.store.map(|section| section.read(text)).transpose()?;
-        Ok(Operator { uwsgi, capture, store })
+        let fleet = file.fleet.map(|section| section.read(text)).transpose()?;
+        Ok(Operator { uwsgi, capture, store, fleet })
     }
 }
 
 /// The value of a key that may be left out, if it is within bounds.
-fn within<T: Copy + PartialOrd + std::fmt::Display>(
+pub(super) fn within<T: Copy + PartialOrd + std::fmt::Display>(
     text: &str,
     key: &str,
     value: Option<Spanned<T>>,
--- a/node/src/life/reload.rs
+++ b/node/src/life/reload.rs
@@ -56,6 +56,11 @@
             capturing.end(hub);
         }
         capturing.set(hub, new.capture);
+        match (&hub.borrow().callers.fleet, &new.fleet) {
+            (Some(part), Some(settings)) => part.retune(settings),
+            (None, None) => {}
+            _ => log("reload: [fleet] was added or removed: it stays as it was until the next start"),
+        }
         if new.store != self.store {
             log("reload: [store] has changed: it stays as it was until the next start");
         }
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -9,7 +9,7 @@
 use crate::net::handover::{self, Offer, Trouble};
 use crate::net::hub::{Hub, Limits, Shared};
 use crate::net::places::Front;
-use crate::net::{ahead, by, control, ledger, membership, processor, timers, workers};
+use crate::net::{ahead, by, callers, control, fleet, ledger, membership, processor, timers, workers};
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use pipitlever_reactor::{block_on, Async, Timer};
@@ -80,10 +80,11 @@
     });
     let door = door.transpose()?;
     // Each caller's, and the listener's; those whose answer is on its way take no place among callers any more.
-    let for_door = if door.is_some() { 2 * control::MOST_CALLERS } else { 0 };
+    let for_door = if door.is_some() { 2 * callers::MOST_CALLERS } else { 0 };
     let memory = config.memory_mb << 20;
     let captured = if config.capture.is_some() { capture::memory(memory) } else { 0 };
-    let kept_back = KEPT_BACK + for_door;
+    let for_fleet = if config.fleet.is_some() { fleet::DESCRIPTORS } else { 0 };
+    let kept_back = KEPT_BACK + for_door + for_fleet;
     let limits = Limits { memory: memory - captured, sockets: config.sockets, kept_back };
     let mut capturing = Capturing::new(&config.name, config.seed, memory);
     let mut reload = Reload::new(read, &config);
@@ -128,17 +129,37 @@
     let place = place.and_then(|_| handover::place(at));
     let offer =
         place.map(|place| Offer::new(executor.clone(), hub.clone(), fronts.clone(), name.clone(), place));
+    let fleet_sockets = match (&config.fleet, met.as_mut().and_then(|met| met.fleet.take())) {
+        // Of another address than this process is given, they are of no use to it.
+        (Some(f), Some(passed)) if f.bind.port() == 0 || passed.at() == Some(f.bind) => Some(passed),
+        (Some(f), _) => Some(bind_fleet(f.bind).await?),
+        (None, _) => None,
+    };
+    let member = RefCell::new(config.fleet.zip(fleet_sockets));
+    let join = {
+        let (executor, hub, name) = (executor.clone(), hub.clone(), name.clone());
+        // Once this process serves: until then the one before it is the member.
+        move |passed: Option<Vec<u8>>| {
+            let Some((settings, sockets)) = member.take() else { return };
+            match fleet::Part::begin(executor.clone(), hub.clone(), &name, settings, sockets, passed) {
+                Ok(part) => hub.borrow_mut().callers.fleet = Some(part),
+                // Its callers are served all the same.
+                Err(why) => log(&format!("fleet: off: {why}")),
+            }
+        }
+    };
     let serve = {
         let (fronts, offer) = (fronts.clone(), offer.clone());
-        move || {
+        move |passed: Option<Vec<u8>>| {
             // To be found before it serves: a process that yields to this one is found no longer.
             offer.iter().for_each(Offer::open);
             fronts.open();
+            join(passed);
         }
     };
     let trouble = Trouble::default();
     match met {
-        None => serve(),
+        None => serve(None),
         Some(met) => {
             let (hub, trouble) = (hub.clone(), trouble.clone());
             let taking = async move {
@@ -189,6 +210,19 @@
     }
 }
 
+/// The fleet's sockets, once a process that is on its way out has left their address.
+async fn bind_fleet(at: SocketAddr) -> Result<fleet::Sockets, String> {
+    let until = ahead(LEAVING_MS);
+    loop {
+        match fleet::Sockets::bind(at) {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                Timer::at(ahead(25)).await;
+            }
+            bound => return bound.map_err(|e| format!("fleet: cannot listen on {at}: {e}")),
+        }
+    }
+}
+
 fn print_counters(hub: &Shared) {
     let hub = hub.borrow();
     let (requests, running, keys) = hub.core.sizes();
@@ -214,6 +248,8 @@
     Timer::at(close).await;
     hub.borrow_mut().close();
     fronts.leave();
+    let part = hub.borrow().callers.fleet.clone();
+    part.iter().for_each(|part| part.leave());
     Timer::at(ahead(CROSSING_MS).min(stop)).await;
     answered(hub, stop).await;
 }
--- a/node/src/net/control.rs
+++ b/node/src/net/control.rs
@@ -8,75 +8,15 @@
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use pipitlever_reactor::{Async, Timer};
-use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-/// Callers at one time, each with a descriptor that the fronts leave alone.
-pub const MOST_CALLERS: usize = 24;
-/// A caller this new is not sent away for another one: its call may be on its way.
-const NEW: Duration = Duration::from_millis(25);
 /// A call is whole by then, in milliseconds.
 const WHOLE_MS: u64 = 10_000;
 /// An answer is written and its end read by then, in milliseconds.
 const LEAVE_MS: u64 = 500;
 
-/// The callers that have a place, by the order in which they came.
-#[derive(Debug, Default)]
-pub struct Callers {
-    all: BTreeMap<u64, (Instant, Nudge)>,
-    last: u64,
-    /// Callers sent away for others.
-    pub sent_away: u64,
-    /// Callers that have their answer and are read for a moment.
-    leaving: usize,
-}
-
-impl Callers {
-    /// One came: its number, and what tells it to go.
-    fn add(&mut self, now: Instant) -> (u64, Nudge) {
-        self.last += 1;
-        let go = Nudge::new();
-        self.all.insert(self.last, (now, go.clone()));
-        (self.last, go)
-    }
-
-    /// Whether one that has its answer may be read for a moment; if so it keeps a descriptor until [`Callers::left`].
-    fn may_linger(&mut self) -> bool {
-        let may = self.leaving < MOST_CALLERS;
-        self.leaving += usize::from(may);
-        may
-    }
-
-    /// It was.
-    fn left(&mut self) {
-        self.leaving -= 1;
-    }
-
-    /// It left, or has its answer and so no more claim to stay.
-    fn remove(&mut self, id: u64) {
-        self.all.remove(&id);
-    }
-
-    /// Whether there is a place for one more. If not, the one that came first is told to go, unless all are new;
-    /// then when to look again.
-    fn room(&mut self, now: Instant) -> Result<(), Instant> {
-        if self.all.len() < MOST_CALLERS {
-            return Ok(());
-        }
-        match self.all.first_entry() {
-            Some(first) if first.get().0 + NEW <= now => {
-                first.remove().1.give();
-                self.sent_away += 1;
-                Ok(())
-            }
-            Some(first) => Err(first.get().0 + NEW),
-            None => Ok(()),
-        }
-    }
-}
-
 /// Accepts callers for as long as the process lives, on its way out too.
 pub async fn listen(executor: Rc<LocalExecutor<'static>>, hub: Shared, listener: Async<TcpListener>) {
     loop {
@@ -150,6 +90,12 @@
     /// Does what an operator asks for, and answers.
     fn called_on(&mut self, asked: Asked, out: &mut Vec<u8>) {
         let Asked { call, head } = asked;
+        if call == Call::Fleet {
+            return match &self.callers.fleet {
+                Some(part) => control::json(out, head, &super::fleet::view(part)),
+                None => control::wrong(out, Wrong::NotFound),
+            };
+        }
         let (yes, text) = match call {
             Call::Status => match () {
                 () if self.draining() => (false, "draining\n".into()),
@@ -158,6 +104,8 @@
                 () => (true, "active\n".into()),
             },
             Call::Metrics => (true, self.figures()),
+            // Answered above.
+            Call::Fleet => (false, String::new()),
             Call::Standby => {
                 self.stand_by(true);
                 (true, "standby\n".into())
@@ -197,29 +145,7 @@
         let _ = writeln!(text, "edge.open_requests:{}|g", self.core.owed());
         let _ = writeln!(text, "edge.cfg_accepted:{}|c", files.accepted);
         let _ = writeln!(text, "edge.cfg_invalid:{}|c", files.invalid);
+        self.callers.fleet.iter().for_each(|part| super::fleet::figures(part, &mut text));
         text
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_first_of_too_many_callers_goes_but_none_that_has_just_come() {
-        let start = Instant::now();
-        let mut callers = Callers::default();
-        for i in 0..MOST_CALLERS as u32 {
-            assert_eq!(callers.room(start), Ok(()));
-            callers.add(start + i * NEW);
-        }
-        let first = callers.all[&1].1.clone();
-        // All places are taken, and the first caller's call may be on its way.
-        assert_eq!(callers.room(start), Err(start + NEW));
-        assert_eq!((callers.all.len(), callers.sent_away), (MOST_CALLERS, 0));
-        assert_eq!(callers.room(start + NEW), Ok(()));
-        assert_eq!((callers.all.len(), callers.sent_away), (MOST_CALLERS - 1, 1));
-        pipitlever_reactor::block_on(first.wait());
-        assert!(!callers.all.contains_key(&1));
-    }
-}
--- /dev/null
+++ b/node/src/net/fleet.rs
@@ -0,0 +1,432 @@
+//! The node's part in the fleet: datagrams, connections and timers for what `pipitlever-fleet` decides. Only with `[fleet]`.
+
+use super::clock::Clock;
+use super::hub::Shared;
+use super::nudge::Nudge;
+use super::{ahead, by};
+use crate::log::log;
+use async_executor::{LocalExecutor, Task};
+use futures_lite::future;
+use pipitlever_fleet::own::Own;
+use pipitlever_fleet::own::Passed;
+use pipitlever_fleet::record::{Standing, State};
+use pipitlever_fleet::rules::Rules;
+use pipitlever_fleet::standing::Steady;
+use pipitlever_fleet::sync::Session;
+use pipitlever_fleet::Fleet;
+use pipitlever_reactor::{Async, Timer};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::hash::{BuildHasher, RandomState};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Descriptors that the fleet may take: its two sockets, and connections.
+pub const DESCRIPTORS: usize = 3 + MOST_SESSIONS;
+/// Connections of others at one time; those beyond are closed, and come again.
+const MOST_SESSIONS: usize = 8;
+/// Datagrams read before others have their turn.
+const TURN: usize = 16;
+/// A connection is over by then, in milliseconds; and each of its reads by then.
+const SESSION_MS: u64 = 10_000;
+const READ_MS: u64 = 2_000;
+/// How often it is looked at how the node is, in milliseconds.
+const LOOK_MS: u64 = 250;
+/// What can't be understood is named in the log so often at most.
+const NAMED: Duration = Duration::from_secs(60);
+
+/// What the operator's file says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The fleet's name: another fleet's members are not heard.
+    pub name: String,
+    /// Where datagrams and connections come in, and go out from.
+    pub bind: SocketAddr,
+    /// How others reach it.
+    pub advertise: SocketAddr,
+    /// Where others may be met.
+    pub seeds: Vec<SocketAddr>,
+    /// Where it stands; may be empty.
+    pub zone: String,
+    /// Times and bounds.
+    pub rules: Rules,
+}
+
+/// The sockets, which pass from one process of the node to the next.
+pub struct Sockets {
+    /// For datagrams.
+    pub udp: UdpSocket,
+    /// For connections.
+    pub tcp: TcpListener,
+}
+
+impl Sockets {
+    /// Both on one port.
+    pub fn bind(at: SocketAddr) -> std::io::Result<Sockets> {
+        let mut tries = 0;
+        loop {
+            let udp = UdpSocket::bind(at)?;
+            match TcpListener::bind(udp.local_addr()?) {
+                // The system picked a port for the one that is taken for the other.
+                Err(e) if at.port() == 0 && e.kind() == std::io::ErrorKind::AddrInUse && tries < 20 => {
+                    tries += 1
+                }
+                tcp => return Ok(Sockets { udp, tcp: tcp? }),
+            }
+        }
+    }
+
+    /// Where they are.
+    pub fn at(&self) -> Option<SocketAddr> {
+        self.udp.local_addr().ok()
+    }
+}
+
+/// Counted since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams sent, those that the system took no more, and those read.
+    pub sent: u64,
+    /// Datagrams that could not be sent.
+    pub unsent: u64,
+    /// Datagrams read.
+    pub heard: u64,
+    /// Datagrams and connections that could not be understood.
+    pub malformed: u64,
+    /// Connections that were made, here or from there, and went to their end.
+    pub synced: u64,
+    /// Connections that did not.
+    pub broken: u64,
+}
+
+/// The node's part.
+pub struct Part {
+    fleet: RefCell<Fleet>,
+    steady: RefCell<Steady>,
+    clock: Clock,
+    hub: Shared,
+    executor: Rc<LocalExecutor<'static>>,
+    udp: Async<UdpSocket>,
+    tcp: Async<TcpListener>,
+    from: SocketAddr,
+    woken: Nudge,
+    dial: Nudge,
+    next: Cell<i64>,
+    sessions: Cell<usize>,
+    /// What reads and wakes; gone while another process of the node is the member.
+    tasks: RefCell<Vec<Task<()>>>,
+    counts: Cell<Counts>,
+    named: Cell<Option<Instant>>,
+}
+
+impl Part {
+    /// Begins to take part: as the process before it in this node did, which has passed this on, or as a new member.
+    pub fn begin(
+        executor: Rc<LocalExecutor<'static>>,
+        hub: Shared,
+        name: &str,
+        settings: Settings,
+        sockets: Sockets,
+        passed: Option<Vec<u8>>,
+    ) -> Result<Rc<Part>, String> {
+        let wrong = |e: std::io::Error| format!("fleet: {e}");
+        let clock = hub.borrow().clock;
+        let Settings { name: fleet, bind, mut advertise, seeds, zone, rules } = settings;
+        let at = sockets.udp.local_addr().map_err(wrong)?;
+        if advertise.port() == 0 {
+            advertise.set_port(at.port());
+        }
+        let passed = passed.and_then(|bytes| Passed::read(&bytes));
+        let contacts = passed.as_ref().map_or(Vec::new(), |p| p.contacts.clone());
+        let own = match passed {
+            Some(passed) => Own::resumed(passed.record),
+            // Not from the seed: two processes must never have the same.
+            None => Own::new(RandomState::new().hash_one(std::process::id()), advertise, &zone),
+        };
+        let now = clock.now();
+        let mut decisions = Fleet::new(rules, &fleet, name, own, RandomState::new().hash_one(now), now);
+        decisions.seeds(seeds);
+        decisions.contacts(contacts);
+        log(&format!("fleet: serving: fleet={fleet} member={name} bind={at} advertise={advertise}"));
+        let part = Rc::new(Part {
+            fleet: RefCell::new(decisions),
+            steady: RefCell::new(Steady::new(now)),
+            clock,
+            hub,
+            executor,
+            udp: Async::<UdpSocket>::new(sockets.udp).map_err(wrong)?,
+            tcp: Async::<TcpListener>::new(sockets.tcp).map_err(wrong)?,
+            from: bind,
+            woken: Nudge::new(),
+            dial: Nudge::new(),
+            next: Cell::new(now),
+            sessions: Cell::new(0),
+            tasks: RefCell::default(),
+            counts: Cell::default(),
+            named: Cell::default(),
+        });
+        part.resume();
+        Ok(part)
+    }
+
+    /// Takes part, or again.
+    pub fn resume(self: &Rc<Part>) {
+        let part = || self.clone();
+        let tasks = [
+            self.executor.spawn(datagrams(part())),
+            self.executor.spawn(wakes(part())),
+            self.executor.spawn(connections(part())),
+            self.executor.spawn(dials(part())),
+        ];
+        *self.tasks.borrow_mut() = tasks.into();
+    }
+
+    /// Another process of the node is the member from now on: nothing is read any more that is for it.
+    pub fn pause(&self) {
+        self.tasks.borrow_mut().clear();
+    }
+
+    /// What that process goes on with.
+    pub fn pass_on(&self) -> Vec<u8> {
+        self.fleet.borrow().pass_on().write()
+    }
+
+    fn active(&self) -> bool {
+        !self.tasks.borrow().is_empty()
+    }
+
+    /// The sockets, to be passed on.
+    pub fn sockets(&self) -> (&UdpSocket, &TcpListener) {
+        (self.udp.get_ref(), self.tcp.get_ref())
+    }
+
+    /// Takes over what may change while the node runs.
+    pub fn retune(&self, settings: &Settings) {
+        self.turn(|fleet, _| {
+            fleet.seeds(settings.seeds.clone());
+            fleet.set_rules(settings.rules.clone());
+        });
+    }
+
+    /// It leaves, and says so.
+    pub fn leave(&self) {
+        if self.active() {
+            self.turn(|fleet, now| fleet.leave(now));
+        }
+    }
+
+    /// What it has counted.
+    pub fn counts(&self) -> Counts {
+        self.counts.get()
+    }
+
+    /// Looks at the view.
+    pub fn look<T>(&self, look: impl FnOnce(&Fleet, i64) -> T) -> T {
+        look(&self.fleet.borrow(), self.clock.now())
+    }
+
+    fn count(&self, count: impl FnOnce(&mut Counts)) {
+        let mut counts = self.counts.get();
+        count(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// Tells the decisions something, and carries out what comes of it.
+    fn turn<T>(&self, tell: impl FnOnce(&mut Fleet, i64) -> T) -> T {
+        let mut fleet = self.fleet.borrow_mut();
+        let told = tell(&mut fleet, self.clock.now());
+        let mut unsent = 0;
+        let out = fleet.take_out();
+        for (to, bytes) in &out {
+            // One that the system does not take is like one that is lost on its way.
+            unsent += u64::from(self.udp.get_ref().send_to(bytes, to).is_err());
+        }
+        self.count(|c| (c.sent, c.unsent) = (c.sent + out.len() as u64 - unsent, c.unsent + unsent));
+        let (events, lost) = fleet.take_events();
+        events.iter().for_each(|event| log(&format!("fleet: {event}")));
+        if lost > 0 {
+            log(&format!("fleet: {lost} lines were left out"));
+        }
+        if fleet.wants_sync() {
+            self.dial.give();
+        }
+        let next = fleet.next_wake();
+        if next < self.next.replace(next) {
+            self.woken.give();
+        }
+        told
+    }
+
+    fn misunderstood(&self, what: &str, why: &pipitlever_fleet::message::Broken) {
+        self.count(|c| c.malformed += 1);
+        let now = Instant::now();
+        if self.named.get().is_none_or(|at| at + NAMED <= now) {
+            self.named.set(Some(now));
+            log(&format!("fleet: {what} was not understood: {why}"));
+        }
+    }
+
+    /// How the node is.
+    fn standing(&self) -> Standing {
+        let hub = self.hub.borrow();
+        match () {
+            () if hub.draining() => Standing::Draining,
+            () if hub.core.fresh() || !hub.taking => Standing::Starting,
+            () if hub.core.standing_by() => Standing::Standby,
+            () if hub.core.crowded() => Standing::Overloaded,
+            () => Standing::Serving,
+        }
+    }
+}
+
+async fn datagrams(part: Rc<Part>) {
+    // One byte more than the longest that is read: what is cut off can't pass for whole.
+    let mut bytes = vec![0; 64 << 10];
+    loop {
+        for _ in 0..TURN {
+            match part.udp.receive(&mut bytes).await {
+                Ok((length, _)) => {
+                    part.count(|c| c.heard += 1);
+                    let read = part.turn(|fleet, now| fleet.datagram(now, &bytes[..length]));
+                    let _ = read.map_err(|why| part.misunderstood("a datagram", &why));
+                }
+                // Word of a datagram that reached nobody, or no memory for one.
+                Err(_) => {
+                    Timer::at(ahead(1)).await;
+                }
+            }
+        }
+        future::yield_now().await;
+    }
+}
+
+async fn wakes(part: Rc<Part>) {
+    loop {
+        let seen = part.standing();
+        let standing = part.steady.borrow_mut().see(part.clock.now(), seen);
+        part.turn(|fleet, now| {
+            fleet.say(standing, b"");
+            if fleet.next_wake() <= now {
+                fleet.wake(now);
+            }
+        });
+        let next = part.clock.instant(part.next.get()).min(ahead(LOOK_MS));
+        by(next, part.woken.wait()).await;
+        future::yield_now().await;
+    }
+}
+
+async fn connections(part: Rc<Part>) {
+    loop {
+        match part.tcp.accept().await {
+            Ok((stream, _)) => {
+                if part.sessions.get() >= MOST_SESSIONS {
+                    continue;
+                }
+                let Ok(stream) = Async::<TcpStream>::new(stream) else { continue };
+                part.sessions.set(part.sessions.get() + 1);
+                let session = part.clone();
+                let answering = async move {
+                    session.settle("a connection", stream, Session::answer()).await;
+                    session.sessions.set(session.sessions.get() - 1);
+                };
+                part.executor.spawn(answering).detach();
+            }
+            // Out of descriptors: whoever could not get in comes again.
+            Err(_) => {
+                Timer::at(ahead(50)).await;
+            }
+        }
+    }
+}
+
+async fn dials(part: Rc<Part>) {
+    loop {
+        part.dial.wait().await;
+        let Some(to) = part.turn(|fleet, _| fleet.take_sync()) else { continue };
+        let from = (!part.from.ip().is_unspecified()).then(|| part.from.ip());
+        match by(ahead(READ_MS), Async::<TcpStream>::connect_from(from, to)).await {
+            Some(Ok(stream)) => {
+                let session = Session::dial(&part.fleet.borrow());
+                part.settle("a member", stream, session).await;
+            }
+            _ => part.count(|c| c.broken += 1),
+        }
+    }
+}
+
+impl Part {
+    /// Makes two views equal over a connection, in pieces, and not for longer than it may take.
+    async fn settle(&self, what: &str, stream: Async<TcpStream>, mut session: Session) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let mut bytes = vec![0; 16 << 10];
+        let settled = by(ahead(SESSION_MS), async {
+            loop {
+                while let Some(piece) = self.turn(|fleet, now| session.piece(fleet, now)) {
+                    by(ahead(READ_MS), stream.write_all(&piece)).await?.ok()?;
+                    future::yield_now().await;
+                }
+                if session.over() {
+                    return Some(());
+                }
+                let read = by(ahead(READ_MS), stream.read(&mut bytes)).await?.ok().filter(|n| *n > 0)?;
+                if !self.active() {
+                    return None;
+                }
+                let fed = self.turn(|fleet, now| session.feed(fleet, now, &bytes[..read]));
+                fed.map_err(|why| self.misunderstood(what, &why)).ok()?;
+                future::yield_now().await;
+            }
+        });
+        let over = settled.await.flatten().is_some();
+        self.count(|c| (c.synced, c.broken) = (c.synced + u64::from(over), c.broken + u64::from(!over)));
+    }
+}
+
+/// The view, as the door tells it.
+pub fn view(part: &Part) -> String {
+    part.look(|fleet, now| {
+        let members = fleet.members().iter().filter(|(_, m)| !m.fading).map(|(name, m)| {
+            let d = &m.record.details;
+            let rivals: Vec<String> = d.rivals.iter().map(|r| r.address.to_string()).collect();
+            json!({
+                "name": name, "address": d.address.to_string(), "zone": d.zone,
+                "state": m.record.state.word(), "incarnation": m.record.incarnation,
+                "standing": d.standing.word(), "since_ms": (now - m.since).max(0) / 1000, "told_by": m.told_by,
+                "conflict": rivals,
+            })
+        });
+        let view = json!({
+            "self": fleet.name(), "fleet": fleet.fleet(), "settled": fleet.settled(), "cut_off": fleet.cut_off(),
+            "health": fleet.health(), "digest": format!("{:016x}", fleet.digest()),
+            "members": members.collect::<Vec<_>>(),
+        });
+        format!("{view}\n")
+    })
+}
+
+/// The figures of the fleet, for the door.
+pub fn figures(part: &Part, text: &mut String) {
+    use std::fmt::Write;
+    part.look(|fleet, _| {
+        let states = fleet.states();
+        let gauges = [State::Alive, State::Suspect, State::Down, State::Left]
+            .map(|s| (s.word(), states.get(&s).copied().unwrap_or(0) as u64));
+        let more = [
+            ("settled", u64::from(fleet.settled())),
+            ("cut_off", u64::from(fleet.cut_off())),
+            ("health", u64::from(fleet.health())),
+        ];
+        for (name, value) in gauges.into_iter().chain(more) {
+            // A string takes all that is written to it.
+            let _ = writeln!(text, "edge.fleet.{name}:{value}|g");
+        }
+    });
+    let Counts { sent, unsent, heard, malformed, synced, broken } = part.counts();
+    let counts =
+        [("sent", sent), ("unsent", unsent), ("heard", heard), ("malformed", malformed), ("synced", synced)];
+    for (name, value) in counts.into_iter().chain([("broken", broken)]) {
+        let _ = writeln!(text, "edge.fleet.{name}:{value}|c");
+    }
+}
--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -1,5 +1,6 @@
 //! The contact between a process of this node and the one that takes over from it: a Unix socket in `$TMPDIR`.
 
+use super::fleet::Sockets;
 use super::front::Fronts;
 use super::hub::Shared;
 use super::nudge::Nudge;
@@ -18,7 +19,7 @@
 use rustix::process::{pidfd_open, PidfdFlags};
 use std::cell::RefCell;
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -32,6 +33,8 @@
 const PAUSE_MS: u64 = 25;
 /// A process whose connection has ended is given so long to be dead, in milliseconds.
 const DYING_MS: u64 = 500;
+/// What the fleet's sockets are called when they are passed on.
+const FLEET: [&str; 2] = ["fleet-udp", "fleet-tcp"];
 /// Nothing is waited for.
 const NOW: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
 /// Bytes written at a time: the table moves in pieces, and the node's other tasks have their turn in between.
@@ -198,11 +201,22 @@
 async fn write(offer: &Offer, stream: &Async<UnixStream>) -> String {
     let (hub, sockets) = (&offer.hub, offer.fronts.sockets());
     let listening = sockets.iter().map(|(front, at, _)| Listening { protocol: front.word().into(), at: *at });
-    let listening = listening.collect();
+    let mut listening: Vec<Listening> = listening.collect();
+    let part = hub.borrow().callers.fleet.clone();
+    let member = part.as_ref().map(|part| part.sockets());
+    if let Some((udp, tcp)) = member {
+        let at = [udp.local_addr(), tcp.local_addr()];
+        let named = FLEET.into_iter().zip(at);
+        listening.extend(
+            named.filter_map(|(protocol, at)| Some(Listening { protocol: protocol.into(), at: at.ok()? })),
+        );
+    }
     let Salt(salt) = hub.borrow().salt;
     let mut bytes = message::greeting();
     message::write(&Message::Welcome(Welcome { name: offer.name.clone(), listening, salt }), &mut bytes);
-    let passed: Vec<_> = sockets.iter().map(|(_, _, listener)| listener.get_ref().as_fd()).collect();
+    let passed = sockets.iter().map(|(_, _, listener)| listener.get_ref().as_fd());
+    let passed = passed.chain(member.into_iter().flat_map(|(udp, tcp)| [udp.as_fd(), tcp.as_fd()]));
+    let passed: Vec<_> = passed.collect();
     let first = by(ahead(PATIENCE_MS), stream.send_with(&bytes, &passed)).await;
     let Some(Ok(sent)) = first else { return "its welcome could not be sent".into() };
     drop(sockets);
@@ -240,7 +254,8 @@
     }
     let stage = hub.predecessor.stage();
     if stage == Step::Yielded && !std::mem::replace(&mut said.yielded, true) {
-        message::write(&Message::Yielded, piece);
+        let member = hub.callers.fleet.as_ref().map(|part| part.pass_on());
+        message::write(&Message::Yielded { member }, piece);
     }
     if piece.is_empty() && !said.end && stage == Step::Frozen {
         said.end = true;
@@ -289,12 +304,14 @@
         Act::Yield => {
             log("handover: done, the other process serves");
             offer.fronts.pause();
+            hub.borrow().callers.fleet.iter().for_each(|part| part.pause());
             offer.pass_on();
             hub.borrow().news.give();
         }
         Act::Resume => {
             hub.borrow_mut().tell(|core, now| core.doubt_keys(now));
             offer.fronts.open();
+            hub.borrow().callers.fleet.iter().for_each(|part| part.resume());
             offer.open();
         }
         Act::Drop => {}
@@ -311,6 +328,8 @@
     pub salt: Salt,
     /// The sockets.
     pub sockets: Vec<(Front, SocketAddr, Async<TcpListener>)>,
+    /// Those of the fleet, if it is in one.
+    pub fleet: Option<Sockets>,
 }
 
 /// Meets the process that this one takes over from, if there is one. An error is a process that is there and can't be taken
@@ -332,8 +351,9 @@
         let stream = Async::<UnixStream>::new(stream).map_err(|e| format!("handover: {e}"))?;
         match by(ahead(PATIENCE_MS), welcomed(&stream)).await {
             Some(Ok(Some((machine, reader, welcome, passed)))) => {
-                let sockets = taken_over(&welcome, passed, name, listen)?;
-                return Ok(Some(Met { stream, peer, reader, machine, salt: Salt(welcome.salt), sockets }));
+                let (sockets, fleet) = taken_over(&welcome, passed, name, listen)?;
+                let salt = Salt(welcome.salt);
+                return Ok(Some(Met { stream, peer, reader, machine, salt, sockets, fleet }));
             }
             // It leaves, died, or has another successor already.
             Some(Ok(None)) if Instant::now() < until => {
@@ -374,13 +394,16 @@
     }
 }
 
+/// What came: the fronts' sockets, and the fleet's.
+type TakenOver = (Vec<(Front, SocketAddr, Async<TcpListener>)>, Option<Sockets>);
+
 /// The sockets that came, if they are those of this very node.
 fn taken_over(
     welcome: &Welcome,
     passed: Vec<OwnedFd>,
     name: &str,
     listen: SocketAddr,
-) -> Result<Vec<(Front, SocketAddr, Async<TcpListener>)>, String> {
+) -> Result<TakenOver, String> {
     let wrong = |what: String| Err(format!("handover: the process that is there {what}"));
     if welcome.name != name {
         return wrong(format!("is of node {}, this one is {name}", welcome.name));
@@ -388,8 +411,16 @@
     if welcome.listening.len() != passed.len() {
         return wrong("passes other sockets than it says".into());
     }
-    let mut sockets = Vec::new();
+    let (mut sockets, mut udp, mut tcp) = (Vec::new(), None, None);
     for (said, passed) in welcome.listening.iter().zip(passed) {
+        if said.protocol == FLEET[0] {
+            udp = Some(UdpSocket::from(passed));
+            continue;
+        }
+        if said.protocol == FLEET[1] {
+            tcp = Some(TcpListener::from(passed));
+            continue;
+        }
         let Some(front) = Front::named(&said.protocol) else {
             return wrong(format!("speaks {}", said.protocol));
         };
@@ -400,13 +431,13 @@
         }
         sockets.push((front, at, Async::<TcpListener>::new(listener).map_err(|e| format!("handover: {e}"))?));
     }
-    Ok(sockets)
+    Ok((sockets, udp.zip(tcp).map(|(udp, tcp)| Sockets { udp, tcp })))
 }
 
 impl Met {
     /// Takes over once this process is ready, and follows the predecessor to its end. An error means that this process is to end,
     /// and the other one serves on.
-    pub async fn take_over(mut self, hub: &Shared, serve: impl Fn()) -> Result<(), String> {
+    pub async fn take_over(mut self, hub: &Shared, serve: impl Fn(Option<Vec<u8>>)) -> Result<(), String> {
         self.follow(hub, &serve).await?;
         // A connection can end while both live, and two must not serve.
         let dead = !self.machine.asks_for_death() || self.peer.died(Some(ahead(DYING_MS))).await;
@@ -421,13 +452,13 @@
         hub.borrow_mut().tell(|core, now| core.orphaned(now));
         hub.borrow_mut().share(None);
         if !hub.borrow().taking {
-            serve();
+            serve(None);
         }
         Ok(())
     }
 
     /// Until the connection ends, or the predecessor, which lives, can't be followed.
-    async fn follow(&mut self, hub: &Shared, serve: &impl Fn()) -> Result<(), String> {
+    async fn follow(&mut self, hub: &Shared, serve: &impl Fn(Option<Vec<u8>>)) -> Result<(), String> {
         let mut bytes = vec![0; PIECE];
         let ready = async {
             while hub.borrow().core.fresh() {
@@ -491,9 +522,9 @@
                         hub.share(Some((1.0 - share).max(0.05)));
                         message::write(&Message::Taken, &mut out);
                     }
-                    successor::Act::Serve => {
+                    successor::Act::Serve(member) => {
                         log("handover: taken over, this process serves");
-                        serve();
+                        serve(member);
                     }
                 }
             }
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -1,12 +1,12 @@
 //! Where the drivers meet the core: who is connected, what is to be written, what the core is told.
 
+use super::callers::Callers;
 use super::calls::{Calls, ToPost};
 use super::clock::Clock;
-use super::control::Callers;
 use super::link::{Link, Told};
 use super::nudge::Nudge;
 use super::places::{Front, Place, Places};
-use super::pools::{Pools, Put};
+use super::pools::{Job, Pools, Put};
 use super::routes::{Backend, Named, Uwsgi};
 use crate::core::counters::Files;
 use crate::core::durable::Durable;
@@ -47,23 +47,6 @@
     rank: f64,
 }
 
-/// A run for a worker: the request, its packet, and when nobody wants the result any more.
-#[derive(Clone, Debug)]
-pub struct Job {
-    /// The request.
-    pub reference: Reference,
-    /// It may happen twice.
-    pub safe: bool,
-    /// The pool that it is for, by position.
-    pub pool: usize,
-    /// It goes where others of its key go.
-    pub sticky: bool,
-    /// What the worker is sent.
-    pub packet: Rc<[u8]>,
-    /// The run is given up then.
-    pub until: Micros,
-}
-
 /// Where the other parties are: what a new configuration may change while the node runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Parties {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -1,8 +1,10 @@
 //! Thin drivers on smol's executor and the reactor: they read, write and wait; what it means is decided in `wire` and `core`.
 
+pub mod callers;
 pub mod calls;
 pub mod clock;
 pub mod control;
+pub mod fleet;
 pub mod front;
 pub mod handover;
 pub mod hub;
--- a/node/src/net/pools.rs
+++ b/node/src/net/pools.rs
@@ -1,14 +1,32 @@
 //! The pools of workers as the node has them: their names, which takes over for which, the runs that wait for their driver.
 
-use super::hub::Job;
 use super::nudge::Nudge;
 use super::routes::Named;
+use crate::core::Reference;
 use crate::log::log;
 use pipitlever::Micros;
 use pipitlever_pools::pool::{Ask, End, Place, Pool, Rules, Run};
 use pipitlever_pools::retry::{Further, Tried};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A run for a worker: the request, its packet, and when nobody wants the result any more.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request.
+    pub reference: Reference,
+    /// It may happen twice.
+    pub safe: bool,
+    /// The pool that it is for, by position.
+    pub pool: usize,
+    /// It goes where others of its key go.
+    pub sticky: bool,
+    /// What the worker is sent.
+    pub packet: Rc<[u8]>,
+    /// The run is given up then.
+    pub until: Micros,
+}
 
 /// Where a run was put.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/node/src/net/workers.rs
+++ b/node/src/net/workers.rs
@@ -2,7 +2,8 @@
 //! on another one.
 
 use super::by;
-use super::hub::{Job, Shared};
+use super::hub::Shared;
+use super::pools::Job;
 use crate::core::End;
 use crate::wire::uwsgi::{variable, Response};
 use async_executor::LocalExecutor;
--- a/node/src/wire/control.rs
+++ b/node/src/wire/control.rs
@@ -16,6 +16,8 @@
     Status,
     /// `GET /status/metrics`: the figures.
     Metrics,
+    /// `GET /fleet`: this node's view of the fleet, where there is one.
+    Fleet,
     /// `POST /standby`: health checks hear bad from now on.
     Standby,
     /// `POST /active`: they hear good again.
@@ -155,6 +157,7 @@
     let (call, allow) = match path {
         "/status" => (Call::Status, "GET, HEAD"),
         "/status/metrics" => (Call::Metrics, "GET, HEAD"),
+        "/fleet" => (Call::Fleet, "GET, HEAD"),
         "/standby" => (Call::Standby, "POST"),
         "/active" => (Call::Active, "POST"),
         _ => return Err(Wrong::NotFound),
@@ -176,21 +179,29 @@
 /// An answer, which ends its connection: yes or not now, and what there is to say.
 pub fn answer(out: &mut Vec<u8>, yes: bool, head: bool, text: &str) {
     let status = if yes { "200 OK" } else { "503 Service Unavailable" };
-    respond(out, status, "", text.len(), if head { "" } else { text });
+    respond(out, status, ["", PLAIN], text.len(), if head { "" } else { text });
+}
+
+/// An answer that is JSON.
+pub fn json(out: &mut Vec<u8>, head: bool, text: &str) {
+    respond(out, "200 OK", ["", "application/json"], text.len(), if head { "" } else { text });
 }
 
 /// The answer to what is no call.
 pub fn wrong(out: &mut Vec<u8>, wrong: Wrong) {
     let allow = if let Wrong::Method(allow) = wrong { format!("Allow: {allow}\r\n") } else { String::new() };
     let text = format!("{}\n", wrong.status());
-    respond(out, wrong.status(), &allow, text.len(), &text);
+    respond(out, wrong.status(), [&allow, PLAIN], text.len(), &text);
 }
 
-fn respond(out: &mut Vec<u8>, status: &str, fields: &str, length: usize, text: &str) {
+/// The kind of most answers.
+const PLAIN: &str = "text/plain; charset=utf-8";
+
+fn respond(out: &mut Vec<u8>, status: &str, [fields, kind]: [&str; 2], length: usize, text: &str) {
     // A vector takes all that is written to it.
     let _ = write!(
         out,
-        "HTTP/1.1 {status}\r\n{fields}Content-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
+        "HTTP/1.1 {status}\r\n{fields}Content-Type: {kind}\r\nContent-Length: {length}\r\n\
          Cache-Control: no-store\r\nConnection: close\r\n\r\n{text}"
     );
 }
--- /dev/null
+++ b/node/tests/fleet.rs
@@ -0,0 +1,217 @@
+//! The fleet as several real processes see it, with faults between them. Callers ask all the while, and the rules hold.
+
+mod common;
+
+use common::{configuration, Scratch, PROGRAM};
+use pipitlever_rig::parties::{check, Asked, Caller, Processor};
+use pipitlever_rig::processes::{call, Cluster, Line, Spec};
+use pipitlever_rig::relay::Link;
+use serde_json::json;
+use std::time::Duration;
+
+fn spec(folder: &Scratch) -> Spec {
+    std::fs::create_dir_all(&folder.0).unwrap();
+    let config = configuration(&json!({}));
+    Spec { program: PROGRAM.into(), config, folder: folder.0.clone(), probe_ms: 200 }
+}
+
+fn state(cluster: &Cluster, at: usize, of: &str) -> String {
+    cluster.held(at, of).map_or(String::new(), |m| m["state"].as_str().unwrap().to_owned())
+}
+
+fn all_hold(cluster: &Cluster, nodes: &[usize], of: &str, wanted: &str) -> bool {
+    nodes.iter().all(|i| state(cluster, *i, of) == wanted)
+}
+
+/// Who was declared down since so many lines, other than these.
+fn wrongly_down(cluster: &Cluster, behind: usize, right: &[&str]) -> Vec<Line> {
+    let lines = cluster.history.lines().split_off(behind);
+    let down = |l: &Line| l.text.contains("suspect -> down") || l.text.contains("alive -> down");
+    let of = |l: &Line, name: &str| l.text.contains(&format!("member={name} "));
+    lines.into_iter().filter(|l| down(l) && !right.iter().any(|name| of(l, name))).collect()
+}
+
+fn stop(callers: Vec<Caller>, cluster: &Cluster) {
+    let asked: Vec<Asked> = callers.into_iter().map(Caller::stop).collect();
+    let runs: Vec<&Processor> = cluster.nodes.iter().map(|n| &n.processor).collect();
+    let counts = check(&asked, &runs).unwrap_or_else(|wrong| panic!("{wrong}"));
+    assert!(counts["served"] > 200, "{counts:?}");
+    let longest = asked.iter().map(|a| a.longest).max().unwrap();
+    assert!(longest < Duration::from_secs(5), "an answer took {longest:?}");
+}
+
+#[test]
+fn two_nodes_find_each_other_and_a_kill_is_noticed() {
+    let folder = Scratch::new("fleet-two");
+    let mut cluster = Cluster::settled(spec(&folder), 2);
+    cluster.kill(1);
+    cluster.wait("n1 is down", |c| state(c, 0, "n1") == "down");
+    assert_eq!(cluster.view(0).unwrap()["cut_off"], true);
+    cluster.start(1);
+    cluster.wait_settled("n1 is back");
+    // A drain says so, a crash doesn't.
+    cluster.signal(1, "-TERM");
+    cluster.wait("n1 has left", |c| state(c, 0, "n1") == "left");
+    let lines = cluster.said("member=n1").into_iter().filter(|l| l.node == 0);
+    let lines: Vec<String> = lines.map(|l| l.text).collect();
+    let seen = |part: &str| lines.iter().any(|l| l.contains(part));
+    assert!(
+        seen("alive -> suspect") && seen("no answer to this node") && seen("suspect -> down"),
+        "{lines:#?}"
+    );
+    assert!(seen("down -> alive") && seen("alive -> left incarnation="), "{lines:#?}");
+    let (_, figures) = call(cluster.nodes[0].process.as_ref().unwrap().door, "GET /status/metrics").unwrap();
+    assert!(figures.contains("edge.fleet.alive:1|g") && figures.contains("edge.fleet.left:1|g"), "{figures}");
+}
+
+/// One course through the faults, on seven nodes whose callers never stop asking.
+#[test]
+fn seven_nodes_settle_again_after_each_fault_and_callers_notice_nothing() {
+    let folder = Scratch::new("fleet-seven");
+    let mut cluster = Cluster::settled(spec(&folder), 7);
+    let callers: Vec<Caller> = (0..7).map(|i| cluster.caller(i)).collect();
+    let (all, calm) = ([0, 1, 2, 3, 4, 5, 6], cluster.history.lines().len());
+
+    // Links that carry one way or not at all, and one that loses, doubles and spoils.
+    let cut = Link { cut: true, ..Link::default() };
+    let bad = Link { loss: 0.1, twice: 0.2, spoilt: 0.1, delay: Duration::from_millis(20), cut: false };
+    cluster.links.set(1, 0, cut);
+    cluster.links.set(2, 3, cut);
+    cluster.links.set(3, 2, cut);
+    all.iter().for_each(|i| cluster.links.set(4, *i, bad));
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(wrongly_down(&cluster, calm, &[]).len(), 0, "{:#?}", wrongly_down(&cluster, calm, &[]));
+    cluster.links.heal();
+    cluster.wait_settled("links are whole again");
+
+    // Stopped past its death, while another one dies and comes back.
+    cluster.signal(5, "-STOP");
+    cluster.wait("n5 is down", |c| all_hold(c, &[0, 1, 2, 3, 4, 6], "n5", "down"));
+    cluster.kill(6);
+    cluster.wait("n6 is down", |c| all_hold(c, &[0, 1, 2, 3, 4], "n6", "down"));
+    cluster.start(6);
+    cluster.wait("n6 is back", |c| c.agree(&[0, 1, 2, 3, 4, 6]));
+    let woken = cluster.history.lines().len();
+    cluster.signal(5, "-CONT");
+    cluster.wait_settled("n5 goes on");
+    let wrong = wrongly_down(&cluster, woken, &[]);
+    assert!(wrong.is_empty(), "nobody is blamed for its sleep: {wrong:#?}");
+    assert!(cluster.said("fleet: refuted: held").iter().any(|l| l.node == 5));
+
+    // Halves, with a crash, a restart and a leaver while they are apart.
+    cluster.links.split(7, |i| usize::from(i >= 4));
+    cluster.wait("the halves hold each other down", |c| {
+        all_hold(c, &[0, 1, 2, 3], "n4", "down")
+            && all_hold(c, &[4, 5, 6], "n0", "down")
+            && all_hold(c, &[0, 1, 2, 3], "n6", "down")
+            && all_hold(c, &[4, 5, 6], "n3", "down")
+    });
+    cluster.wait("the smaller part knows that it is cut off", |c| {
+        [4, 5, 6].iter().all(|i| c.view(*i).unwrap()["cut_off"] == true)
+            && c.view(0).unwrap()["cut_off"] == false
+    });
+    cluster.kill(3);
+    cluster.kill(4);
+    cluster.start(4);
+    cluster.signal(5, "-TERM");
+    cluster.nodes[5].process.as_mut().unwrap().wait();
+    cluster.nodes[5].process = None;
+    cluster.wait("n3 is down", |c| all_hold(c, &[0, 1, 2], "n3", "down"));
+    cluster.links.heal();
+    let running = [0, 1, 2, 4, 6];
+    let took = cluster.wait("one fleet again", |c| c.agree(&running));
+    assert!(took < Duration::from_secs(10), "{took:?}");
+    assert!(all_hold(&cluster, &running, "n3", "down") && all_hold(&cluster, &running, "n5", "left"));
+    cluster.start(3);
+    cluster.start(5);
+    cluster.wait_settled("all are back");
+
+    // All at once.
+    (0..7).for_each(|i| cluster.kill(i));
+    (0..7).for_each(|i| cluster.start(i));
+    cluster.wait_settled("all have restarted");
+    stop(callers, &cluster);
+}
+
+#[test]
+fn a_replacement_is_one_member_also_during_a_partition() {
+    let folder = Scratch::new("fleet-replaced");
+    let mut cluster = Cluster::settled(spec(&folder), 4);
+    let callers: Vec<Caller> = (0..4).map(|i| cluster.caller(i)).collect();
+    let before = cluster.held(0, "n2").unwrap();
+    let calm = cluster.history.lines().len();
+    for partition in [false, true] {
+        if partition {
+            cluster.links.split(4, |i| usize::from(i == 3));
+            cluster.wait("n3 is cut off", |c| all_hold(c, &[0, 1, 2], "n3", "down"));
+        }
+        let listen = cluster.nodes[2].process.as_ref().unwrap().gateways;
+        let successor = cluster.process(2, "n2", Some(listen));
+        let number = successor.number;
+        let taken = cluster.history.wait(calm, |l| l.process == number && l.text.contains("fleet: serving"));
+        assert!(taken.is_some(), "{:#?}", cluster.tail(2));
+        let mut old = cluster.nodes[2].process.replace(successor).unwrap();
+        old.signal("-TERM");
+        assert_eq!(old.wait().code(), Some(0));
+        cluster.wait("the successor is in the fleet", |c| {
+            c.agree(if partition { &[0, 1, 2] } else { &[0, 1, 2, 3] })
+        });
+    }
+    // Nobody but the one that was cut off saw it leave, be suspected, or come anew.
+    let lines = cluster.history.lines().split_off(calm);
+    let seen: Vec<_> = lines.iter().filter(|l| l.node < 2 && l.text.contains("member=n2 ")).collect();
+    assert!(seen.is_empty(), "{seen:#?}");
+    let after = cluster.held(0, "n2").unwrap();
+    assert_eq!((&after["incarnation"], &after["address"]), (&before["incarnation"], &before["address"]));
+    cluster.links.heal();
+    cluster.wait_settled("n3 is back");
+
+    // One that dies in mid-handover, having yielded or not, leaves one member that lives.
+    let listen = cluster.nodes[2].process.as_ref().unwrap().gateways;
+    let successor = cluster.process(2, "n2", Some(listen));
+    cluster.kill(2);
+    cluster.nodes[2].process = Some(successor);
+    cluster.wait_settled("the successor lives");
+    let at = cluster.held(0, "n2").unwrap();
+    assert_eq!((&at["address"], &at["conflict"]), (&before["address"], &json!([])));
+    stop(callers, &cluster);
+}
+
+#[test]
+fn two_processes_of_one_name_are_named_on_all_nodes_and_neither_gives_way() {
+    let folder = Scratch::new("fleet-conflict");
+    let mut cluster = Cluster::settled(spec(&folder), 4);
+    // n3's process goes by the name of n1.
+    cluster.kill(3);
+    cluster.wait("n3 is down", |c| all_hold(c, &[0, 1, 2], "n3", "down"));
+    let twin = cluster.process(3, "n1", None);
+    cluster.nodes[3].process = Some(twin);
+    let addresses = |c: &Cluster, at: usize| {
+        let held = c.held(at, "n1")?;
+        let mut both = vec![held["address"].as_str()?.to_owned(), held["conflict"][0].as_str()?.to_owned()];
+        both.sort();
+        Some(both)
+    };
+    let mut both = vec![cluster.nodes[1].relay.at.to_string(), cluster.nodes[3].relay.at.to_string()];
+    both.sort();
+    cluster.wait("all name both", |c| (0..4).all(|i| addresses(c, i).as_ref() == Some(&both)));
+    let number = |c: &Cluster| c.held(0, "n1").unwrap()["incarnation"].as_u64().unwrap();
+    let first = number(&cluster);
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(number(&cluster) <= first + 1 && addresses(&cluster, 2) == Some(both), "they fight");
+    for node in [1, 3] {
+        assert!(
+            cluster.said("fleet: conflict: member=n1").iter().any(|l| l.node == node),
+            "node {node} says so"
+        );
+    }
+    cluster.kill(3);
+    cluster.wait("n1 is one process again", |c| {
+        [0, 1, 2].iter().all(|i| {
+            let held = c.held(*i, "n1").unwrap();
+            held["state"] == "alive"
+                && held["conflict"] == json!([])
+                && held["address"] == c.nodes[1].relay.at.to_string()
+        })
+    });
+}
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -229,14 +229,14 @@
     let mut place = Place::new("strangers");
     let (mut old, _before, _) = place.first();
     let mut gateway = old.ready();
-    for words in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"plhand\x07\x00", b"plhand\x02\x00\xff\xff\xff\xff", b""] {
+    for words in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"plhand\x07\x00", b"plhand\x03\x00\xff\xff\xff\xff", b""] {
         let mut stream = UnixStream::connect(place.socket()).unwrap();
         stream.write_all(words).unwrap();
         stream.shutdown(std::net::Shutdown::Write).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).unwrap();
-        assert!(answer.starts_with(b"plhand\x02\x00"), "{answer:?}");
+        assert!(answer.starts_with(b"plhand\x03\x00"), "{answer:?}");
         gateway.send("alive", json!({}));
         assert_eq!(gateway.receive()["result"]["healthy"], true);
     }
@@ -256,7 +256,7 @@
     });
     let config = json!({"listen": place.listen, "processor": nobody().to_string()});
     let (code, log) = Node::fails(config, &[("TMPDIR", place.folder.0.to_str().unwrap())]);
-    assert!(code == Some(1) && log.contains("it speaks version 9, this is 2"), "{code:?} {log}");
+    assert!(code == Some(1) && log.contains("it speaks version 9, this is 3"), "{code:?} {log}");
 }
 
 /// What a peer says next, until it says what is waited for.
@@ -293,7 +293,7 @@
     say(&mut stream, &Message::Freeze);
     hear(&mut stream, &mut reader, |m| matches!(m, Message::End { .. }));
     say(&mut stream, &Message::Taken);
-    hear(&mut stream, &mut reader, |m| *m == Message::Yielded);
+    hear(&mut stream, &mut reader, |m| matches!(m, Message::Yielded { .. }));
     // This test lives on. Each call lets the node come round to what it has noticed.
     drop(stream);
     for _ in 0..20 {
--- a/reactor/src/socket.rs
+++ b/reactor/src/socket.rs
@@ -4,7 +4,7 @@
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::Errno;
 use rustix::net::{
-    connect, ipproto, recvmsg, sendmsg, socket_with, AddressFamily, RecvAncillaryBuffer,
+    bind, connect, ipproto, recvmsg, sendmsg, socket_with, AddressFamily, RecvAncillaryBuffer,
     RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage, SendFlags, SocketFlags,
     SocketType,
 };
@@ -12,7 +12,7 @@
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read, Write};
 use std::marker::PhantomData;
 use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::rc::Rc;
 
@@ -106,9 +106,17 @@
 
     /// Connects.
     pub async fn connect(to: SocketAddr) -> io::Result<Async<TcpStream>> {
+        Async::<TcpStream>::connect_from(None, to).await
+    }
+
+    /// Connects from this address of the machine, if one is given.
+    pub async fn connect_from(from: Option<IpAddr>, to: SocketAddr) -> io::Result<Async<TcpStream>> {
         let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         let socket = socket_with(family, SocketType::STREAM, flags, Some(ipproto::TCP))?;
+        if let Some(from) = from {
+            bind(&socket, &SocketAddr::new(from, 0))?;
+        }
         match connect(&socket, &to) {
             Ok(()) | Err(Errno::INPROGRESS) => {}
             Err(error) => return Err(error.into()),
@@ -140,6 +148,24 @@
     }
 }
 
+impl Async<UdpSocket> {
+    /// Hears datagrams there.
+    pub fn bind(at: SocketAddr) -> io::Result<Async<UdpSocket>> {
+        Async::<UdpSocket>::new(UdpSocket::bind(at)?)
+    }
+
+    /// Takes over a socket.
+    pub fn new(socket: UdpSocket) -> io::Result<Async<UdpSocket>> {
+        socket.set_nonblocking(true)?;
+        Async::register(socket, true)
+    }
+
+    /// The next datagram: its bytes, of which those that find no room are lost, and who sent it.
+    pub async fn receive(&self, bytes: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.attempt(Way::In, |socket| socket.recv_from(bytes)).await
+    }
+}
+
 /// The most descriptors that one message carries.
 const MOST_PASSED: usize = 8;
 
