--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `suspicion`, `health`: how long a suspect has, and how far this node trusts itself.
 //! - `spread`: what travels with other messages, and how often.
 //! - `sync`: two views that differ are made equal over a connection.
+//! - `news`: what a piece of news is worth beside what is held.
 //! - `own`: this node's record: incarnations, refutation, and two processes of one name.
 //! - `node`: all of it together, [`Fleet`].
 
@@ -16,6 +17,7 @@
 pub mod health;
 pub mod members;
 pub mod message;
+pub mod news;
 mod node;
 pub mod own;
 mod probe;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -5,6 +5,7 @@
 use crate::health::Health;
 use crate::members::Members;
 use crate::message::{length, Body, Broken, Packet, Update};
+use crate::news::{weigh, Weighed};
 use crate::own::{Own, Passed, Reply, MOST_CONTACTS};
 use crate::probe::{Help, Next, Probe};
 use crate::record::{Record, Standing, State};
@@ -694,30 +695,16 @@
             return self.learn_own(now, &said.record, teller);
         }
         let Some(member) = self.members.get(&said.name) else { return self.meet(now, said, teller) };
-        let (held, record) = (&member.record, &said.record);
-        let order = (record.incarnation, record.token).cmp(&(held.incarnation, held.token));
-        let same = order.is_eq();
-        if order.is_lt() || (same && member.fading) {
-            return;
-        }
-        let told = match record.state {
-            _ if said.name == teller => Cause::Itself,
-            _ => Cause::Told(teller.to_owned()),
-        };
-        let by_hearsay = record.state == State::Down && held.state.takes_part();
-        if by_hearsay && !(same && held.state == State::Suspect) {
-            // It is held to be alive here, and may be: it is to have its time to say so. Else the halves of a fleet would hold
-            // themselves dead when they meet again.
-            let record = Record { state: State::Suspect, ..record.clone() };
-            let said = Update { record, by: Some(teller.to_owned()), ..said.clone() };
-            return self.accuse(now, &said, told);
-        }
-        if record.state == State::Suspect {
-            return self.accuse(now, said, told);
-        }
-        let mut joined = held.clone();
-        if joined.join(record) {
-            self.turn(now, &said.name, joined, teller, told, None);
+        let weighed = weigh(&member.record, member.fading, &said.record);
+        let told = if said.name == teller { Cause::Itself } else { Cause::Told(teller.to_owned()) };
+        match weighed {
+            Weighed::Nothing => {}
+            Weighed::Accuses => self.accuse(now, said, told),
+            Weighed::Doubted(record) => {
+                let said = Update { record, by: Some(teller.to_owned()), ..said.clone() };
+                self.accuse(now, &said, told);
+            }
+            Weighed::Turns(record) => self.turn(now, &said.name, record, teller, told, None),
         }
     }
 
--- a/fleet/src/own.rs
+++ b/fleet/src/own.rs
@@ -50,7 +50,7 @@
 }
 
 /// This node, as it tells the others.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Own {
     /// Its record.
     pub record: Record,
@@ -211,6 +211,13 @@
 
     fn of_this_process(&mut self, said: &Record) -> Reply {
         let Record { incarnation, state, details, .. } = said;
+        if let Some(other) = &self.other {
+            // The one that names this process holds, and so do its numbers: to refute what is lower would undo that.
+            if (said.incarnation, said.token) < (other.incarnation, other.token) {
+                return Reply::Nothing;
+            }
+            self.other = None;
+        }
         if *incarnation < self.record.incarnation {
             return Reply::Nothing;
         }
--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use super::config::Config;
+use super::doors;
 use super::explain;
 use super::import::Import;
 use super::serve::serve;
@@ -24,6 +25,10 @@
   pipitlever store check|list|compact FOLDER [--json]
                        read a store that no node uses: whether all of it can be read, the keys within their
                        windows, or write these anew and drop the rest
+  pipitlever fleet status --at DOOR [--json] [--watch]
+                       the fleet as the node sees it that has this door (HOST:PORT); again at each change
+  pipitlever fleet compare --at DOOR --at DOOR...
+                       where the views of these nodes differ, and 1 if they do
   pipitlever version   print the version
   pipitlever help      print this
 
@@ -40,7 +45,7 @@
     let mut verb = None;
     let mut operator = None;
     let mut files = Vec::new();
-    let mut json = false;
+    let (mut json, mut watch, mut doors) = (false, false, Vec::new());
     let mut config = std::env::var("EDGE_CONFIG").ok();
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
@@ -58,8 +63,13 @@
             Long("help") | Short('h') => verb = Some("help".to_owned()),
             Long("version") | Short('V') => verb = Some("version".to_owned()),
             Value(word) if verb.is_none() => verb = Some(word.string().map_err(|e| e.to_string())?),
-            Long("json") if verb.as_deref() == Some("store") => json = true,
-            Value(file) if matches!(verb.as_deref(), Some("import" | "store")) => {
+            Long("json") if matches!(verb.as_deref(), Some("store" | "fleet")) => json = true,
+            Long("watch") if verb.as_deref() == Some("fleet") => watch = true,
+            Long("at") if verb.as_deref() == Some("fleet") => {
+                let value = parser.value().map_err(|e| e.to_string())?;
+                doors.push(value.string().map_err(|e| e.to_string())?);
+            }
+            Value(file) if matches!(verb.as_deref(), Some("import" | "store" | "fleet")) => {
                 files.push(file.string().map_err(|e| e.to_string())?);
             }
             other => return Err(format!("{}; see 'pipitlever help'", other.unexpected())),
@@ -127,6 +137,11 @@
             }
             _ => Err("store: say check, list or compact, and a folder".into()),
         },
+        "fleet" => match (&files[..], &doors[..]) {
+            ([task], [door]) if task == "status" => doors::status(door, json, watch),
+            ([task], [_, _, ..]) if task == "compare" => doors::compare(&doors),
+            _ => Err("fleet: say status and --at DOOR, or compare and --at for two doors or more".into()),
+        },
         "version" => {
             println!("pipitlever {}", env!("CARGO_PKG_VERSION"));
             Ok(0)
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -3,6 +3,7 @@
 pub mod capture;
 pub mod command;
 pub mod config;
+mod doors;
 mod explain;
 mod fleet;
 pub mod import;
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -40,10 +40,35 @@
     assert!(longest < Duration::from_secs(5), "an answer took {longest:?}");
 }
 
+/// `pipitlever fleet` with these words, and the doors of these nodes: its code, and what it prints.
+fn command(cluster: &Cluster, words: &[&str], nodes: &[usize]) -> (Option<i32>, String) {
+    let mut command = std::process::Command::new(PROGRAM);
+    command.arg("fleet").args(words);
+    for node in nodes {
+        command.args(["--at", &cluster.nodes[*node].process.as_ref().unwrap().door.to_string()]);
+    }
+    let output = command.output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(text).unwrap())
+}
+
 #[test]
 fn two_nodes_find_each_other_and_a_kill_is_noticed() {
     let folder = Scratch::new("fleet-two");
     let mut cluster = Cluster::settled(spec(&folder), 2);
+    let (code, text) = command(&cluster, &["status"], &[0]);
+    assert!(code == Some(0) && text.contains("n0*") && text.contains("settled"), "{text}");
+    let (code, text) = command(&cluster, &["compare"], &[0, 1]);
+    assert!(code == Some(0) && text.contains("equal: 2 views of 2 members, 2 alive"), "{text}");
+    assert_eq!(command(&cluster, &["compare"], &[0]).0, Some(1));
+    assert_eq!(command(&cluster, &["status", "--at", "nowhere"], &[]).0, Some(1));
+    // While they don't hear each other their views differ.
+    cluster.links.split(2, |i| i);
+    cluster.wait("they hold each other down", |c| state(c, 0, "n1") == "down" && state(c, 1, "n0") == "down");
+    let (code, text) = command(&cluster, &["compare"], &[0, 1]);
+    assert!(code == Some(1) && text.contains("n1: ") && text.contains("(n0)"), "{text}");
+    cluster.links.heal();
+    cluster.wait_settled("they hear each other");
     cluster.kill(1);
     cluster.wait("n1 is down", |c| state(c, 0, "n1") == "down");
     assert_eq!(cluster.view(0).unwrap()["cut_off"], true);
