--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,9 +10,11 @@
 //! - `spread`: what travels with other messages, and how often.
 //! - `sync`: two views that differ are made equal over a connection.
 //! - `news`: what a piece of news is worth beside what is held.
+//! - `elsewhere`: whether a caller that is refused has anywhere to go.
 //! - `own`: this node's record: incarnations, refutation, and two processes of one name.
 //! - `node`: all of it together, [`Fleet`].
 
+pub mod elsewhere;
 pub mod event;
 pub mod health;
 pub mod members;
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -19,6 +19,8 @@
     pub told_by: String,
     /// When it last answered this node; nothing if it never has. What it says unasked proves nothing: anybody can use a name.
     pub heard: Option<Micros>,
+    /// When its reading of its load was heard of, here.
+    pub load_at: Micros,
     /// The suspicion, while it is a suspect.
     pub suspicion: Option<Suspicion>,
     /// How often it was tried since it is down.
@@ -97,6 +99,7 @@
             since,
             told_by: told_by.to_owned(),
             heard: None,
+            load_at: since,
             suspicion: None,
             tries: 0,
             fading: false,
--- /dev/null
+++ b/fleet/src/node/mod.rs
@@ -0,0 +1,444 @@
+//! One node's part in the fleet, as one machine: times, datagrams and what the node says of itself go in; datagrams, wishes
+//! for connections and events come out.
+
+use crate::elsewhere;
+use crate::event::{Cause, Event};
+use crate::health::Health;
+use crate::members::Members;
+use crate::message::{length, Body, Broken, Packet, Update};
+use crate::news::{weigh, Weighed};
+use crate::own::{Own, Passed, Reply, MOST_CONTACTS};
+use crate::probe::{Help, Next, Probe};
+use crate::record::{Record, Standing, State};
+use crate::ring::Ring;
+use crate::rules::Rules;
+use crate::spread::Spread;
+use crate::suspicion::Suspicion;
+use crate::Micros;
+use fastrand::Rng;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+mod due;
+mod heard;
+
+use heard::Turn;
+
+/// Probes for others at one time.
+const MOST_HELP: usize = 64;
+/// Members that are probed out of turn, at most.
+const MOST_CHECKS: usize = 8;
+/// How many, of all who hear of a suspicion, probe the suspect at once.
+const CHECKERS: f64 = 4.0;
+/// Events that nobody has fetched.
+const MOST_EVENTS: usize = 4096;
+/// Views must be heard to agree from so many before this one is settled.
+const AGREED: usize = 3;
+/// Bytes of a datagram beside the news: its checksum.
+const OVERHEAD: usize = 8;
+/// Periods for which views may differ before a connection settles it: news has had its time to arrive.
+const DIFFER: Micros = 4;
+/// Tries of members that are down: the first so many periods after the last change, then rarer, up to the most.
+const REACH_FIRST: Micros = 2;
+const REACH_MOST: Micros = 16;
+
+/// Readings of the load are told so far apart, by each, and for each member that there is; and again after so long.
+const LOAD_LEAST: Micros = 500_000;
+const LOAD_EACH: Micros = 50_000;
+const LOAD_AGAIN: Micros = 2_000_000;
+
+/// What travels in one datagram.
+type Datagram = (SocketAddr, Vec<u8>);
+
+/// A node's view of the fleet, and all that keeps it.
+pub struct Fleet {
+    rules: Rules,
+    fleet: String,
+    name: String,
+    own: Own,
+    members: Members,
+    seeds: Vec<SocketAddr>,
+    contacts: Vec<SocketAddr>,
+    rng: Rng,
+    seq: u32,
+    health: Health,
+    ring: Ring,
+    probe: Option<Probe>,
+    next_probe: Micros,
+    help: Vec<Help>,
+    checks: VecDeque<String>,
+    /// Ends of suspicions, the first one first.
+    deadlines: BTreeSet<(Micros, String)>,
+    spread: Spread,
+    next_gossip: Micros,
+    reach: Micros,
+    next_reach: Micros,
+    /// The number of the last tries of those who are down, seeds and rivals.
+    reached: Option<u32>,
+    next_tidy: Micros,
+    /// Members whose view was heard to be the same since it changed last.
+    agreed: BTreeSet<String>,
+    /// Since when views are heard to differ from this one, with none that agrees.
+    differs: Option<Micros>,
+    next_sync: Micros,
+    sync: Option<SocketAddr>,
+    met: bool,
+    cut_off: bool,
+    load_at: Micros,
+    /// When it said last that it wants to be woken, and when it was last there.
+    expected: Option<Micros>,
+    there: Micros,
+    out: Vec<Datagram>,
+    events: VecDeque<Event>,
+    lost_events: u64,
+}
+
+impl Fleet {
+    /// A node that has just started and knows nobody.
+    pub fn new(rules: Rules, fleet: &str, name: &str, own: Own, seed: u64, now: Micros) -> Fleet {
+        let mut rng = Rng::with_seed(seed);
+        let period = rules.probe;
+        let first = now + rng.i64(0..period);
+        let mut members = Members::default();
+        members.insert(name, own.held().clone(), now, name);
+        Fleet {
+            fleet: fleet.to_owned(),
+            name: name.to_owned(),
+            own,
+            members,
+            seeds: Vec::new(),
+            contacts: Vec::new(),
+            seq: rng.u32(..),
+            rng,
+            health: Health::default(),
+            ring: Ring::default(),
+            probe: None,
+            next_probe: first,
+            help: Vec::new(),
+            checks: VecDeque::new(),
+            deadlines: BTreeSet::new(),
+            spread: Spread::default(),
+            next_gossip: now,
+            reach: REACH_FIRST * period,
+            next_reach: now,
+            reached: None,
+            next_tidy: now + period,
+            agreed: BTreeSet::new(),
+            differs: None,
+            next_sync: now,
+            sync: None,
+            met: false,
+            cut_off: false,
+            load_at: now,
+            expected: None,
+            there: now,
+            out: Vec::new(),
+            events: VecDeque::new(),
+            lost_events: 0,
+            rules,
+        }
+    }
+
+    /// Where others may be met. What is no member's address is asked again and again.
+    pub fn seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Where some members were a moment ago: asked once.
+    pub fn contacts(&mut self, contacts: Vec<SocketAddr>) {
+        self.contacts = contacts;
+    }
+
+    /// What a process goes on with that takes this one's place.
+    pub fn pass_on(&self) -> Passed {
+        let others =
+            self.members.iter().filter(|(name, m)| *name != self.name && m.record.state == State::Alive);
+        let contacts = others.map(|(_, m)| m.record.details.address).take(MOST_CONTACTS).collect();
+        Passed { record: self.own.record.clone(), contacts }
+    }
+
+    /// Takes over times and bounds.
+    pub fn set_rules(&mut self, rules: Rules) {
+        self.rules = rules;
+    }
+
+    /// The rules.
+    pub fn rules(&self) -> &Rules {
+        &self.rules
+    }
+
+    /// The fleet's name.
+    pub fn fleet(&self) -> &str {
+        &self.fleet
+    }
+
+    /// This node's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The members, itself too.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// What this process says of itself, as it would pass it on to one that goes on in its place.
+    pub fn own_record(&self) -> &Record {
+        &self.own.record
+    }
+
+    /// How far it trusts itself: 0 when all is well, to 8.
+    pub fn health(&self) -> u32 {
+        self.health.score()
+    }
+
+    /// Whether this node's view has come to rest: nobody is suspected, and the last ones heard have the same view.
+    pub fn settled(&self) -> bool {
+        let others = self.members.taking_part().saturating_sub(1);
+        let met = self.met || self.seeds.iter().all(|s| *s == self.own.record.details.address);
+        self.deadlines.is_empty() && met && self.agreed.len() >= others.min(AGREED)
+    }
+
+    /// Whether it sees no majority of those it knows.
+    pub fn cut_off(&self) -> bool {
+        self.members.known() > 1 && 2 * self.members.taking_part() <= self.members.known()
+    }
+
+    /// The digest of the view.
+    pub fn digest(&self) -> u64 {
+        self.members.digest()
+    }
+
+    /// What is to be sent.
+    pub fn take_out(&mut self) -> Vec<Datagram> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// What happened, and how much of it was lost as nobody fetched it.
+    pub fn take_events(&mut self) -> (Vec<Event>, u64) {
+        (self.events.drain(..).collect(), std::mem::take(&mut self.lost_events))
+    }
+
+    /// Whether there is a member to be connected to.
+    pub fn wants_sync(&self) -> bool {
+        self.sync.is_some()
+    }
+
+    /// A member to be connected to, as views differ. The wish is taken with this.
+    pub fn take_sync(&mut self) -> Option<SocketAddr> {
+        self.sync.take()
+    }
+
+    /// What the node says of itself.
+    pub fn say(&mut self, standing: Standing, payload: &[u8]) {
+        let same = {
+            let d = &self.own.record.details;
+            d.standing == standing && d.payload == payload
+        };
+        if same {
+            return;
+        }
+        let said = self.own.say(|d| {
+            d.standing = standing;
+            d.payload = payload.to_vec();
+        });
+        if said {
+            self.publish();
+        }
+    }
+
+    /// The rank below which it refuses, in 255ths. It is told as often as the fleet can bear, and again while it refuses
+    /// anything, as old news counts for nothing.
+    pub fn load(&mut self, now: Micros, cut: u8) {
+        let (reading, before) = self.own.record.load;
+        let since = now - self.load_at;
+        let least = LOAD_LEAST.max(self.members.taking_part() as Micros * LOAD_EACH);
+        let again = cut > 0 && since >= LOAD_AGAIN.max(least);
+        if self.members.taking_part() <= elsewhere::MOST && since >= least && (cut != before || again) {
+            self.load_at = now;
+            self.own.record.load = (reading + 1, cut);
+            self.publish();
+        }
+    }
+
+    /// It leaves, and says so to some at once.
+    pub fn leave(&mut self, now: Micros) {
+        self.own.leave();
+        self.publish();
+        for name in self.ring.some(2 * Rules::HELPERS, &[], &mut self.rng) {
+            self.news_to(now, &name);
+        }
+    }
+
+    /// When it wants to be woken. To be asked after all that it is told: it holds its driver to the last answer, to know when it was
+    /// not there.
+    pub fn next_wake(&mut self) -> Micros {
+        let at = self.due();
+        self.expected = Some(at.max(self.there));
+        at
+    }
+
+    fn due(&self) -> Micros {
+        let probe = self.probe.as_ref().map_or(self.next_probe, |p| p.due().min(p.end()));
+        let silent = self.help.iter().filter(|h| !h.silent).map(|h| h.silent_at).min();
+        let gossip = (!self.spread.is_empty() && !self.ring.is_empty()).then_some(self.next_gossip);
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let all = [silent, gossip, deadline, Some(self.next_reach), Some(self.next_tidy)];
+        all.into_iter().flatten().fold(probe, Micros::min)
+    }
+
+    /// It is time for something.
+    pub fn wake(&mut self, now: Micros) {
+        self.present(now);
+        // As before a datagram: what is waiting to be read may be what is waited for.
+        self.probes(now);
+        self.helps(now);
+        self.suspects(now);
+        self.reaches(now);
+        self.gossips(now);
+        self.tidies(now);
+        self.watch();
+    }
+
+    /// Notices that this node was not there: nobody is to be blamed for what it has missed.
+    fn present(&mut self, now: Micros) {
+        self.there = now;
+        let Some(late) = self.expected.map(|at| now - at) else { return };
+        if late <= self.rules.probe / 2 {
+            return;
+        }
+        if self.rules.lifeguard.health {
+            self.health.worse(1);
+        }
+        self.expected = Some(now);
+        if late <= self.rules.probe {
+            return;
+        }
+        self.event(Event::Late(late));
+        // Its own probe says nothing, and suspects have the time again that it was away: refutations may wait to be read.
+        if let Some(probe) = self.probe.take() {
+            self.checks.push_front(probe.name);
+            self.checks.truncate(MOST_CHECKS);
+        }
+        self.next_probe = now + self.rules.probe / 2;
+        for (_, name) in self.deadlines.clone() {
+            self.members.note(&name, |m| {
+                if let Some(suspicion) = &mut m.suspicion {
+                    suspicion.put_off(late);
+                }
+            });
+            self.list(&name);
+        }
+        self.agreed.clear();
+    }
+
+    /// Lists the end of a member's suspicion, if it is suspected, and of none else.
+    fn list(&mut self, name: &str) {
+        let (rules, members, deadlines) = (&self.rules, self.members.taking_part(), &mut self.deadlines);
+        self.members.note(name, |m| {
+            if let Some(suspicion) = &mut m.suspicion {
+                deadlines.remove(&(suspicion.listed, name.to_owned()));
+                suspicion.listed = suspicion.deadline(rules, members);
+                deadlines.insert((suspicion.listed, name.to_owned()));
+            }
+        });
+    }
+
+    /// A member is not suspected any more, or anew.
+    fn suspect(&mut self, name: &str, suspicion: Option<Suspicion>) {
+        let deadlines = &mut self.deadlines;
+        self.members.note(name, |m| {
+            if let Some(before) = std::mem::replace(&mut m.suspicion, suspicion) {
+                deadlines.remove(&(before.listed, name.to_owned()));
+            }
+        });
+        self.list(name);
+    }
+
+    fn event(&mut self, event: Event) {
+        if self.events.len() == MOST_EVENTS {
+            self.events.pop_front();
+            self.lost_events += 1;
+        }
+        self.events.push_back(event);
+    }
+
+    /// Says so when the majority is lost or found.
+    fn watch(&mut self) {
+        let now = self.cut_off();
+        if std::mem::replace(&mut self.cut_off, now) != now {
+            self.event(Event::CutOff(now));
+        }
+    }
+
+    // What is sent.
+
+    /// This node's own record, as it is told.
+    pub fn own(&self) -> Update {
+        Update { name: self.name.clone(), record: self.own.record.clone(), by: None, age_s: 0 }
+    }
+
+    /// What is told of a member; nothing of one that is not known, or about to be forgotten.
+    pub fn update(&self, now: Micros, name: &str) -> Option<Update> {
+        let m = self.members.get(name).filter(|m| !m.fading)?;
+        let by = m.suspicion.as_ref().and_then(|s| s.by().last().cloned());
+        let age_s = match m.record.state.takes_part() {
+            true => 0,
+            false => u32::try_from((now - m.since).max(0) / 1_000_000).unwrap_or(u32::MAX),
+        };
+        Some(Update { name: name.to_owned(), record: m.record.clone(), by, age_s })
+    }
+
+    /// Sends something with as much news as fits; first that of one member, if there is one.
+    fn send(&mut self, now: Micros, to: SocketAddr, body: Body, first: Option<&str>) {
+        let mut packet = Packet { from: self.own(), digest: self.digest(), body, news: Vec::new() };
+        let mut room = self.rules.most_datagram.saturating_sub(packet.write(&self.fleet).len() + OVERHEAD);
+        if let Some(update) = first.and_then(|name| self.update(now, name)) {
+            room = room.saturating_sub(length(&update));
+            packet.news.push(update);
+        }
+        let most = self.rules.sendings(self.members.taking_part());
+        let mut spread = std::mem::take(&mut self.spread);
+        spread.take(most, |name| {
+            // One that was forgotten meanwhile takes no room.
+            let Some(update) = self.update(now, name) else { return true };
+            let length = length(&update);
+            if length > room {
+                return false;
+            }
+            room -= length;
+            if first != Some(name) {
+                packet.news.push(update);
+            }
+            true
+        });
+        self.spread = spread;
+        self.out.push((to, packet.write(&self.fleet)));
+    }
+
+    fn news_to(&mut self, now: Micros, name: &str) {
+        let Some(to) = self.members.get(name).map(|m| m.record.details.address) else { return };
+        self.send(now, to, Body::News, None);
+    }
+
+    fn next_seq(&mut self) -> u32 {
+        self.seq = self.seq.wrapping_add(1);
+        self.seq
+    }
+
+    /// Asks one whether it is there. Who is held to be worse than alive is told so.
+    fn ping(&mut self, now: Micros, seq: u32, name: &str, address: SocketAddr) {
+        let alive = self.members.get(name).is_none_or(|m| m.record.state == State::Alive);
+        let first = (!alive && self.rules.lifeguard.buddy).then_some(name);
+        self.send(now, address, Body::Ping { seq, to: Some(name.to_owned()) }, first);
+    }
+
+    /// How many members are in each state, for figures.
+    pub fn states(&self) -> BTreeMap<State, usize> {
+        let mut states = BTreeMap::new();
+        for (_, m) in self.members.iter().filter(|(_, m)| !m.fading) {
+            *states.entry(m.record.state).or_default() += 1;
+        }
+        states
+    }
+}
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -108,7 +108,7 @@
     pub state: State,
     /// What it says of itself.
     pub details: Details,
-    /// How loaded it is, in 255ths, and the number of that reading. It changes all the time: no part of the digest.
+    /// The rank below which it refuses, in 255ths, and the number of that reading. It changes all the time: no part of the digest.
     pub load: (u32, u8),
 }
 
--- a/rig/src/sim.rs
+++ b/rig/src/sim.rs
@@ -231,6 +231,14 @@
         self.nodes[node].fleet.as_ref()
     }
 
+    /// Has a node say something of itself.
+    pub fn tell<T>(&mut self, node: usize, tell: impl FnOnce(&mut Fleet, Micros) -> T) -> Option<T> {
+        let now = self.local(node);
+        let told = tell(self.nodes[node].fleet.as_mut()?, now);
+        self.settle(node);
+        Some(told)
+    }
+
     /// Those that run.
     pub fn running(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|i| self.nodes[*i].fleet.is_some()).collect()
--- a/rig/tests/sim.rs
+++ b/rig/tests/sim.rs
@@ -208,6 +208,8 @@
 fn three_parts_find_each_other() {
     for seed in 0..5 {
         let mut world = settled(9, 9, seed);
+        // With no seed to ask: it is the dead that are tried.
+        (0..9).for_each(|i| assert!(world.tell(i, |fleet, _| fleet.seeds(Vec::new())).is_some()));
         world.split(|i| i % 3);
         world.run(60 * S);
         // First two of them, then all.
@@ -368,8 +370,17 @@
     world.crash(5);
     world.run(20 * S);
     assert_eq!(world.held(0, "n5"), Some(State::Down));
+    let record = world.fleet(0).unwrap().members().get("n5").unwrap().record.clone();
+    let old = Update { name: "n5".into(), record, by: None, age_s: 0 };
     world.run(20 * S);
     assert!((0..5).all(|i| world.held(i, "n5").is_none()));
+    // What somebody said of it long ago comes again.
+    let record = world.fleet(3).unwrap().own_record().clone();
+    let from = Update { name: "n3".into(), record, by: None, age_s: 0 };
+    let packet = Packet { from, digest: 1, body: Body::News, news: vec![old] }.write("sim");
+    (0..5).filter(|i| *i != 3).for_each(|i| world.inject(i, packet.clone()));
+    world.run(100_000);
+    assert!((0..5).all(|i| world.held(i, "n5").is_none()), "it is known to be old");
     wait(&mut world, 10, "one is forgotten");
     world.run(60 * S);
     assert!((0..5).all(|i| world.fleet(i).unwrap().members().get("n5").is_none()), "the entry is gone, too");
