--- a/rig/src/parties.rs
+++ b/rig/src/parties.rs
@@ -38,6 +38,7 @@
 }
 
 fn process(mut stream: TcpStream, runs: &Mutex<BTreeMap<Vec<u8>, usize>>) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
     let mut lines = BufReader::new(stream.try_clone().ok()?);
     let mut notices = 0;
     loop {
@@ -204,3 +205,70 @@
     }
     Ok(counts)
 }
+
+/// The processor time that a process has used, in milliseconds.
+pub fn cpu_ms(process: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    let fields: Vec<f64> =
+        text.rsplit(") ").next().unwrap_or_default().split(' ').filter_map(|w| w.parse().ok()).collect();
+    // Of the fields behind the name the first is a letter; user and system time come eleven and twelve later, in hundredths.
+    fields.get(10..12).map_or(0.0, |t| 10.0 * (t[0] + t[1]))
+}
+
+/// The memory that a process has, in megabytes.
+pub fn memory_mb(process: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok()).map_or(0.0, |kb| kb / 1024.0)
+}
+
+/// Connections that an open loop spreads its requests over: each has some open at most.
+const WAYS: u64 = 8;
+
+/// Plain reads at a fixed rate a second, whatever becomes of those before: their latencies from the time that each was due, and
+/// what `cpu` grew by.
+pub fn open_loop(at: SocketAddr, rate: u64, time: Duration, cpu: impl Fn() -> f64) -> String {
+    let (count, start, before) = (rate * time.as_secs(), Instant::now(), cpu());
+    let due = move |number: u64| start + Duration::from_micros(number * 1_000_000 / rate);
+    let (mut ways, mut readers) = (Vec::new(), Vec::new());
+    for way in 0..WAYS {
+        let stream = TcpStream::connect(at).expect("the node accepts");
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+        let mut lines = BufReader::new(stream.try_clone().expect("a second handle"));
+        ways.push(stream);
+        readers.push(std::thread::spawn(move || {
+            let (mut took, mut served) = (Vec::new(), 0);
+            while (took.len() as u64) < count / WAYS {
+                let mut line = String::new();
+                if lines.read_line(&mut line).unwrap_or(0) == 0 {
+                    break;
+                }
+                let Ok(said) = serde_json::from_str::<Value>(&line) else { break };
+                let Some(id) = said["id"].as_u64() else { continue };
+                served += u64::from(said["result"].is_object());
+                took.push(due((id - 1) * WAYS + way).elapsed());
+            }
+            (took, served)
+        }));
+    }
+    for number in 0..count {
+        std::thread::sleep(due(number).saturating_duration_since(Instant::now()));
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let params = json!({"ref": format!("{number:016x}"), "since": since, "sender": 1, "allow": 4000,
+            "effort": 12.5, "room": 24.5, "class_rank": 0.625, "doc": STANDARD.encode(b"a plain view")});
+        let message =
+            json!({"jsonrpc": "2.0", "id": number / WAYS + 1, "method": "rota-view", "params": params});
+        let _ = ways[(number % WAYS) as usize].write_all(format!("{message}\n").as_bytes());
+    }
+    let (mut took, mut served) = (Vec::new(), 0);
+    for reader in readers {
+        let (of, count) = reader.join().expect("the reader ends");
+        took.extend(of);
+        served += count;
+    }
+    took.sort();
+    let at = |p: f64| took.get((took.len() as f64 * p) as usize).copied().unwrap_or_default();
+    let cpu = (cpu() - before) / start.elapsed().as_secs_f64();
+    format!("{rate}/s served={served} of {count} p50={:?} p99={:?} cpu={cpu:.1} ms/s", at(0.5), at(0.99))
+}
