Run a node out of descriptors while another one of the fleet dies

Need: the issue's case of exhausted descriptors had no test. Change: a process that may open nothing more (checked by its door, which lets nobody in) notices the crash by datagrams, stays a member, and settles once it may again.

--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -8,6 +8,7 @@
 use pipitlever_rig::processes::{call, Cluster, Line, Spec};
 use pipitlever_rig::relay::Link;
 use serde_json::json;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 fn spec(folder: &Scratch) -> Spec {
@@ -211,6 +212,37 @@
     stop(callers, &cluster, Duration::from_secs(5));
 }
 
+#[test]
+fn a_node_out_of_descriptors_stays_a_member_and_notices_a_crash() {
+    let folder = Scratch::new("fleet-descriptors");
+    let mut cluster = Cluster::settled(spec(&folder), 4);
+    let id = cluster.nodes[2].process.as_ref().unwrap().id().to_string();
+    let limit = |most: &str| {
+        let words = ["--pid", &id, &format!("--nofile={most}")];
+        assert!(std::process::Command::new("prlimit").args(words).status().unwrap().success());
+    };
+    let behind = cluster.history.lines().len();
+    // It may open nothing beyond its three standard streams any more, and what is open stays.
+    limit("3:1024");
+    let mut stream = std::net::TcpStream::connect(cluster.nodes[2].process.as_ref().unwrap().door).unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    stream.write_all(b"GET /fleet HTTP/1.1\r\n\r\n").unwrap();
+    assert!(stream.read(&mut [0]).is_err(), "it has descriptors still");
+    cluster.kill(3);
+    cluster.wait("n3 is down", |c| all_hold(c, &[0, 1], "n3", "down"));
+    let noticed =
+        cluster.history.wait(behind, |l| l.node == 2 && l.text.contains("member=n3 suspect -> down"));
+    assert!(noticed.is_some(), "{:#?}", cluster.tail(2));
+    // One that comes back is met by datagrams; who connects is not let in, and nobody is blamed.
+    cluster.start(3);
+    cluster.wait("n3 is back", |c| {
+        all_hold(c, &[0, 1, 3], "n3", "alive") && all_hold(c, &[0, 1, 3], "n2", "alive")
+    });
+    assert!(wrongly_down(&cluster, behind, &["n3"]).is_empty());
+    limit("1024:1024");
+    cluster.wait_settled("descriptors are there again");
+}
+
 #[test]
 fn two_processes_of_one_name_are_named_on_all_nodes_and_neither_gives_way() {
     let folder = Scratch::new("fleet-conflict");
