--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -212,6 +212,24 @@
     stop(callers, &cluster, Duration::from_secs(5));
 }
 
+#[test]
+fn a_node_that_was_given_a_wrong_seed_meets_the_others_after_a_sighup() {
+    let folder = Scratch::new("fleet-seeds");
+    let nobody = common::nobody();
+    let mut cluster = Cluster::new(Spec { seeds: vec![nobody], ..spec(&folder) }, 2);
+    (0..2).for_each(|i| cluster.start(i));
+    for i in 0..2 {
+        let view = cluster.view(i).unwrap();
+        assert!(view["settled"] == false && view["members"].as_array().unwrap().len() == 1, "{view}");
+    }
+    let line = cluster.said("fleet: serving").into_iter().find(|l| l.node == 1).unwrap().text;
+    let at = line.split(' ').find_map(|w| w.strip_prefix("bind=")).unwrap();
+    cluster.rewrite(0, &nobody.to_string(), at);
+    cluster.wait_settled("they have met");
+    let (yes, _) = call(cluster.nodes[0].process.as_ref().unwrap().door, "GET /status").unwrap();
+    assert!(yes && cluster.said("reload: done").len() == 1);
+}
+
 #[test]
 fn a_node_out_of_descriptors_stays_a_member_and_notices_a_crash() {
     let folder = Scratch::new("fleet-descriptors");
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -253,6 +253,17 @@
         Process { child, number, gateways, door }
     }
 
+    /// Replaces text in a node's operator's file, and says so to its process.
+    pub fn rewrite(&self, node: usize, from: &str, to: &str) {
+        let n = &self.nodes[node];
+        let number = n.process.as_ref().expect("it runs").number;
+        let file = n.folder.join(format!("{number}.toml"));
+        let text = std::fs::read_to_string(&file).expect("its file");
+        assert!(text.contains(from), "{text}");
+        std::fs::write(&file, text.replace(from, to)).expect("a file");
+        self.signal(node, "-HUP");
+    }
+
     /// The last lines of a node.
     pub fn tail(&self, node: usize) -> Vec<String> {
         let lines = self.history.lines();
