Take the tests' records of members from where the fleet makes them

Need: four tests built a member's record field by field, the same lines again, though Own::new makes one.

Change: they use it. No code outside tests changes.

--- a/fleet/src/elsewhere.rs
+++ b/fleet/src/elsewhere.rs
@@ -55,20 +55,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::record::{Details, Record, Standing};
+    use crate::own::Own;
 
     fn members(cuts: &[u8], at: Micros) -> Members {
         let mut members = Members::default();
         for (i, cut) in cuts.iter().enumerate() {
-            let details = Details {
-                revision: 1,
-                address: ([127, 0, 0, 1], 1).into(),
-                zone: String::new(),
-                standing: Standing::Serving,
-                payload: Vec::new(),
-                rivals: Vec::new(),
-            };
-            let record = Record { incarnation: 1, token: 1, state: State::Alive, details, load: (1, *cut) };
+            let mut record = Own::new(1, ([127, 0, 0, 1], 1).into(), "").record;
+            record.load = (1, *cut);
             members.insert(&format!("n{i}"), record, at, "n0");
         }
         members
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -185,18 +185,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::record::{Details, Standing};
+    use crate::own::Own;
 
     fn record(state: State, incarnation: u64) -> Record {
-        let details = Details {
-            revision: 1,
-            address: "127.0.0.1:1".parse().unwrap(),
-            zone: String::new(),
-            standing: Standing::Serving,
-            payload: Vec::new(),
-            rivals: Vec::new(),
-        };
-        Record { incarnation, token: 1, state, details, load: (0, 0) }
+        Record { incarnation, state, ..Own::new(1, ([127, 0, 0, 1], 1).into(), "").record }
     }
 
     #[test]
--- a/fleet/tests/join.rs
+++ b/fleet/tests/join.rs
@@ -1,6 +1,7 @@
 //! Records of one name are a join semilattice, and what is read from others is bounded.
 
 use pipitlever_fleet::message::{frame, Body, Broken, Frame, Frames, Packet, Update};
+use pipitlever_fleet::own::Own;
 use pipitlever_fleet::record::{Details, Record, Rival, Standing, State};
 use proptest::prelude::*;
 
@@ -100,15 +101,7 @@
 
 #[test]
 fn another_version_is_named_and_a_record_out_of_bounds_is_not_held() {
-    let details = Details {
-        revision: 1,
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: String::new(),
-        standing: Standing::Serving,
-        payload: Vec::new(),
-        rivals: Vec::new(),
-    };
-    let record = Record { incarnation: 1, token: 1, state: State::Alive, details, load: (0, 0) };
+    let record = Own::new(1, ([127, 0, 0, 1], 1).into(), "").record;
     let packet = |record| Packet { from: update(record), digest: 0, body: Body::News, news: Vec::new() };
     let mut newer = packet(record.clone()).write("rota");
     newer[4] += 1;
--- a/rig/tests/sim.rs
+++ b/rig/tests/sim.rs
@@ -2,7 +2,8 @@
 
 use pipitlever_fleet::event::Event;
 use pipitlever_fleet::message::{Body, Packet, Update};
-use pipitlever_fleet::record::{Details, Record, Standing, State};
+use pipitlever_fleet::own::Own;
+use pipitlever_fleet::record::{Record, State};
 use pipitlever_fleet::rules::Rules;
 use pipitlever_rig::sim::{address, World};
 
@@ -308,15 +309,7 @@
 }
 
 fn liar(name: &str, incarnation: u64) -> Update {
-    let details = Details {
-        revision: 1,
-        address: ([10, 9, 9, 9], 9).into(),
-        zone: String::new(),
-        standing: Standing::Serving,
-        payload: Vec::new(),
-        rivals: Vec::new(),
-    };
-    let record = Record { incarnation, token: 7, state: State::Alive, details, load: (0, 0) };
+    let record = Record { incarnation, ..Own::new(7, ([10, 9, 9, 9], 9).into(), "").record };
     Update { name: name.into(), record, by: None, age_s: 0 }
 }
 
