Kill either process in each step of a replacement under the fleet's eyes

Now eight deaths: each process, at its word of meeting, of taking over and of the end, some milliseconds later.

Seen to fail: without the resumption in Act::Resume (net/handover.rs) the view with n2's process that serves again does not settle in 60 s. Without the pause in Act::Yield nothing failed at first: the predecessor went on reading half of the datagrams. The replacement test now holds that its count of heard ones stands still; the mutant gives 21 for 10.

rig: a process can be started without waiting for it (launch, ready).

--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -186,6 +186,15 @@
         let taken = cluster.history.wait(calm, |l| l.process == number && l.text.contains("fleet: serving"));
         assert!(taken.is_some(), "{:#?}", cluster.tail(2));
         let mut old = cluster.nodes[2].process.replace(successor).unwrap();
+        // While both live only one of them hears and speaks: the others would believe each in turn.
+        let heard = |door| {
+            let (_, text) = call(door, "GET /status/metrics").unwrap();
+            let count = text.lines().find_map(|l| l.strip_prefix("edge.fleet.heard:")?.strip_suffix("|c"));
+            count.unwrap_or_else(|| panic!("{text}")).parse::<u64>().unwrap()
+        };
+        let (before, door) = (heard(old.door), cluster.nodes[2].process.as_ref().unwrap().door);
+        cluster.wait("the successor hears the others", |_| heard(door) > 20);
+        assert_eq!(heard(old.door), before);
         old.signal("-TERM");
         assert_eq!(old.wait().code(), Some(0));
         cluster.wait("the successor is in the fleet", |c| {
@@ -212,6 +221,62 @@
     stop(callers, &cluster, Duration::from_secs(5));
 }
 
+#[test]
+fn a_process_that_dies_in_any_step_of_a_replacement_leaves_one_member_that_lives() {
+    let folder = Scratch::new("fleet-deaths");
+    let mut cluster = Cluster::settled(spec(&folder), 3);
+    let callers: Vec<Caller> = (0..3).map(|i| cluster.caller(i)).collect();
+    let first = cluster.held(0, "n2").unwrap();
+    // After which word, of either process, which of them dies, and how much later.
+    let (met, taken, done) = (
+        "a process has come to take over",
+        "taken over, this process serves",
+        "done, the other process serves",
+    );
+    let steps = [
+        (met, true, 0),
+        (met, true, 3),
+        (taken, true, 0),
+        (done, true, 50),
+        (met, false, 0),
+        (met, false, 3),
+        (taken, false, 0),
+        (done, false, 50),
+    ];
+    for (word, successor_dies, ms) in steps {
+        let behind = cluster.history.lines().len();
+        let old = cluster.nodes[2].process.as_ref().unwrap().number;
+        let listen = cluster.nodes[2].process.as_ref().unwrap().gateways;
+        let launched = cluster.launch(2, "n2", Some(listen));
+        let new = launched.number;
+        let step = |l: &Line| (l.process == old || l.process == new) && l.text.contains(word);
+        assert!(cluster.history.wait(behind, step).is_some(), "{word}: {:#?}", cluster.tail(2));
+        std::thread::sleep(Duration::from_millis(ms));
+        if successor_dies {
+            launched.child.signal("-KILL");
+            drop(launched);
+        } else {
+            cluster.nodes[2].process.as_ref().unwrap().signal("-KILL");
+            // It is dead before it is waited for, and its successor keeps its callers.
+            cluster.nodes[2].process = None;
+            cluster.nodes[2].process = Some(cluster.ready(launched));
+        }
+        cluster.wait_settled(&format!("{word}, {successor_dies}, {ms}: the one that is left"));
+        let at = cluster.held(0, "n2").unwrap();
+        assert_eq!(
+            (&at["state"], &at["address"], &at["conflict"]),
+            (&json!("alive"), &first["address"], &json!([])),
+            "{word}, {successor_dies}, {ms}: {:#?}",
+            cluster.tail(2)
+        );
+        let lines = cluster.history.lines().split_off(behind);
+        let ended =
+            lines.iter().find(|l| l.node < 2 && l.text.contains("member=n2 ") && l.text.contains("-> left"));
+        assert!(ended.is_none(), "{word}, {successor_dies}, {ms}: {ended:?}");
+    }
+    stop(callers, &cluster, Duration::from_secs(5));
+}
+
 #[test]
 fn a_node_that_was_given_a_wrong_seed_meets_the_others_after_a_sighup() {
     let folder = Scratch::new("fleet-seeds");
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -81,9 +81,38 @@
     }
 }
 
+/// A process that does not outlive this.
+pub struct Guarded(Child);
+
+impl Guarded {
+    /// Sends a signal.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.0.id().to_string()]).status();
+        assert!(sent.is_ok_and(|s| s.success()), "kill {name}");
+    }
+}
+
+impl Drop for Guarded {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// One that has been started and may not be ready yet.
+pub struct Launched {
+    /// The process.
+    pub child: Guarded,
+    /// Its number, over all.
+    pub number: usize,
+    node: usize,
+    /// Lines that were said before it was there.
+    behind: usize,
+}
+
 /// One process.
 pub struct Process {
-    child: Child,
+    child: Guarded,
     /// Its number, over all.
     pub number: usize,
     /// Where its callers connect.
@@ -95,25 +124,17 @@
 impl Process {
     /// Sends a signal.
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
-        assert!(sent.is_ok_and(|s| s.success()), "kill {name}");
+        self.child.signal(name);
     }
 
     /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("it ends")
+        self.child.0.wait().expect("it ends")
     }
 
     /// Its id.
     pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.child.0.id()
     }
 }
 
@@ -196,8 +217,14 @@
         self.nodes[node].process = Some(process);
     }
 
-    /// Starts a process at a node's place: under a name, and at an address if one is given.
+    /// Starts a process at a node's place: under a name, and at an address if one is given. It is ready when this returns.
     pub fn process(&mut self, node: usize, name: &str, listen: Option<SocketAddr>) -> Process {
+        let launched = self.launch(node, name, listen);
+        self.ready(launched)
+    }
+
+    /// Starts a process as above, and doesn't wait for it.
+    pub fn launch(&mut self, node: usize, name: &str, listen: Option<SocketAddr>) -> Launched {
         self.processes += 1;
         let number = self.processes;
         let n = &self.nodes[node];
@@ -237,6 +264,12 @@
                 history.add(Line { at: started.elapsed(), node, process: number, text });
             }
         });
+        Launched { child: Guarded(child), number, node, behind }
+    }
+
+    /// Waits until a process is ready.
+    pub fn ready(&self, launched: Launched) -> Process {
+        let Launched { child, number, node, behind } = launched;
         let said = |part: &str, field: &str| -> SocketAddr {
             let line = self.history.wait(behind, |l| l.process == number && l.text.contains(part));
             let line =
