--- a/fleet/mutants.sh
+++ b/fleet/mutants.sh
@@ -1,29 +1,8 @@
 #!/usr/bin/env bash
 # Breaks one rule of the fleet at a time, in a copy, and runs the check that is to notice. Prints who was caught; ends with 1 if one
 # was not. By hand: some minutes.
-set -u
 # usage: fleet/mutants.sh [WORDS]: those whose description has these words
-top=$(git -C "$(dirname "$0")" rev-parse --show-toplevel)
-copy=$(mktemp -d)
-trap 'git -C "$top" worktree remove --force "$copy" >/dev/null 2>&1' EXIT
-git -C "$top" worktree add -q --detach "$copy" HEAD || exit 1
-export CARGO_TARGET_DIR="$top/target/mutants"
-missed=0
-only=${*:-}
-# What is broken, the file, from, to (perl), and the check.
-mutant() {
-    local what=$1 file=$2 from=$3 to=$4
-    [[ $what == *"$only"* ]] || return
-    shift 4
-    cd "$copy" && git checkout -q -- .
-    FROM=$from TO=$to perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/ or die "not found"' "$file" || { echo "NOT APPLIED: $what"; missed=1; return; }
-    if timeout 300 cargo test -q "$@" >/dev/null 2>&1; then
-        echo "MISSED: $what ($*)"
-        missed=1
-    else
-        echo "caught: $what ($*)"
-    fi
-}
+source "$(dirname "$0")/../rig/mutants.sh"
 join='-p pipitlever-fleet --test join'
 unit='-p pipitlever-fleet --lib'
 model='-p pipitlever-fleet --test model'
