Ask somebody else when a piece of a content brings nothing

Cause: Node::fetched (versions/src/node.rs) took an empty piece as progress and made the next one due at once, so a member that sends empty pieces keeps another one asking it without a pause. It counts as no piece now.

--- a/versions/src/node.rs
+++ b/versions/src/node.rs
@@ -438,7 +438,11 @@
         let Some(fetch) = self.fetch.as_mut().filter(|f| f.digest == digest && f.bytes.len() == at) else {
             return false;
         };
-        let Some((piece, all)) = piece.filter(|(p, all)| *all <= MOST_CONTENT && at + p.len() <= *all) else {
+        // An empty piece would be asked for again and again, at once.
+        let sane = |(p, all): &(&[u8], usize)| {
+            *all <= MOST_CONTENT && at + p.len() <= *all && (!p.is_empty() || *all == 0)
+        };
+        let Some((piece, all)) = piece.filter(sane) else {
             // Somebody else is asked.
             fetch.from = None;
             return false;
--- a/versions/tests/nodes.rs
+++ b/versions/tests/nodes.rs
@@ -358,6 +358,11 @@
     world.publish(0, &content).unwrap();
     world.run(3 * S);
     assert!(world.acting()[3..].iter().all(|a| *a == Some(0)), "{:?}", world.acting());
+    // Nor is a piece that brings nothing asked for again at once.
+    let now = world.local(1) + 2 * S;
+    let (digest, at, _) = world.node(1).take_fetch(now).unwrap();
+    world.node(1).fetched(now, "n0", digest, at, Some((&[], 30_000)));
+    assert_eq!(world.node(1).take_fetch(now), None);
     world.places[0].lies = false;
     world.until_all_act(&(0..8).collect::<Vec<_>>(), 1);
 }
