--- a/rig/examples/fleet.rs
+++ b/rig/examples/fleet.rs
@@ -3,6 +3,7 @@
 use pipitlever_fleet::event::Event;
 use pipitlever_fleet::record::State;
 use pipitlever_fleet::rules::Rules;
+use pipitlever_rig::parties::memory_mb;
 use pipitlever_rig::sim::World;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -77,7 +78,13 @@
                 let mut world = World::new(rules.clone(), size, seed);
                 world.record = false;
                 (0..size).for_each(|i| world.start(i, &[0, 1]));
-                world.wait(120 * S, World::settled).unwrap_or(999 * S)
+                let took = world.wait(120 * S, World::settled).unwrap_or(999 * S);
+                if seeds == 1 {
+                    // With more of them several worlds share the process.
+                    let memory = memory_mb(std::process::id());
+                    println!("memory size={size} MB a member={:.3}", memory / size as f64);
+                }
+                took
             });
             line("start-all-equal", size, &mut took);
         }
