Divide the module into small files by concern, without a change of what it decides

The laboratory caught panics of the module by the file's name: it goes by the folder now. The test of the module's length reads the folder and holds the deploy file to it.

--- a/lab/src/command.rs
+++ b/lab/src/command.rs
@@ -69,7 +69,7 @@
     // A capture that no node wrote may bring the module to a panic: it is caught, and told as damage.
     let usual = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
-        let module = info.location().is_some_and(|l| l.file().ends_with("rules.rs"));
+        let module = info.location().is_some_and(|l| l.file().contains("src/rules/"));
         if !module {
             usual(info);
         }
--- /dev/null
+++ b/src/rules/limit.rs
@@ -0,0 +1,37 @@
+//! How many requests may be on the cores.
+
+use super::*;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct RunLimit {
+    pub(super) limit: f64,
+    pub(super) started: Micros,
+    /// Smoothed ratio of time on the cores to the best of the class.
+    pub(super) stretch: f64,
+    /// Smoothed time on the cores of all ended runs, and the share that succeeded.
+    pub(super) slot: f64,
+    pub(super) success: f64,
+}
+
+impl RunLimit {
+    /// The crowd that the cores survive at this moment, with a third kept back: the mean is over a span,
+    /// and runs come back from calls and disks unbidden.
+    pub(super) fn ceiling(&self, s: &Settings, now: Micros) -> f64 {
+        let cold_for = s.safety.cold_for.max(1) as f64;
+        let age = if s.cold { (now - self.started) as f64 / cold_for } else { 1.0 };
+        let speed = (s.safety.cold_from + (1.0 - s.safety.cold_from) * age).min(1.0);
+        (0.65 * (1.0 + (s.safety.crowd - 1.0) * speed) * s.cores).max(1.0)
+    }
+
+    pub(super) fn adjust(&mut self, s: &Settings, now: Micros, core_use: f64, held: usize) {
+        let floor = s.cores.max(1.0);
+        // Cores idle while work is held: runs wait for a disk, so more may run, whatever latency says.
+        if core_use < 0.9 && held > 0 {
+            self.limit = (self.limit * 1.15).max(self.limit + 1.0);
+        } else if self.stretch > 2.0 || core_use > 0.97 {
+            // Cores are busy: each further run only slows the others.
+            self.limit -= 0.05 * self.limit;
+        }
+        self.limit = self.limit.min(self.ceiling(s, now)).max(floor.min(self.ceiling(s, now)));
+    }
+}
--- /dev/null
+++ b/src/rules/start.rs
@@ -0,0 +1,101 @@
+//! What is given up, which calls are placed, and what is started.
+
+use super::*;
+
+impl Controller {
+    /// Answers what is due, and gives up what can no longer earn anything.
+    pub(super) fn sweep(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut ended = Vec::new();
+        for (&id, e) in self.entries.iter().filter(|(_, e)| !e.answered) {
+            let class = &self.s.classes[e.class];
+            let worthless = class.late_worth == 0.0 && now >= e.aim;
+            let give_up = match e.state {
+                Stage::Held => worthless,
+                Stage::Reusing => false,
+                _ => worthless && class.idempotency != Idempotency::Keyed && self.s.halt != HaltMode::Never,
+            };
+            if give_up || now >= e.due {
+                let cause = if now >= e.due { Cause::Due(e.state) } else { Cause::PastAim(e.state) };
+                ended.push((id, e.state, class.idempotency, cause));
+            }
+        }
+        for (id, state, idempotency, cause) in ended {
+            match state {
+                Stage::Held => self.refuse(id, cause, out),
+                Stage::Running if idempotency == Idempotency::Free => {
+                    // A read may be turned away while it runs, which lets the caller be told to stop trying.
+                    self.entries.get_mut(&id).expect("swept above").answered = true;
+                    self.why.push((id, cause));
+                    out.push(Action::Refuse { id, backoff: 0, no_retry: true });
+                    self.halt(id, out);
+                }
+                _ => self.fail(id, cause, out),
+            }
+        }
+    }
+
+    /// Places calls, nearest aim first, while the layer below has room for this server.
+    pub(super) fn place_calls(&mut self, out: &mut Vec<Action>) {
+        let ceiling = self.run.ceiling(&self.s, self.now);
+        let mut line: Vec<(Micros, RequestId)> = self.parked().collect();
+        line.sort_unstable();
+        for (_, id) in line {
+            if !self.calls.room(&self.s, ceiling) {
+                break;
+            }
+            let e = self.entries.get_mut(&id).expect("listed above");
+            let left = (e.due - self.now).min(self.calls.patience(&self.s)).max(1);
+            e.state = Stage::Calling;
+            self.calls.placed += 1.0;
+            out.push(Action::Call(id, left));
+        }
+    }
+
+    /// Starts held requests while there is room on the cores and in memory. What can't end within its aim is
+    /// turned away before it wastes work.
+    pub(super) fn start(&mut self, out: &mut Vec<Action>) {
+        let ceiling = self.run.ceiling(&self.s, self.now);
+        // Reading shares the cores with runs and cannot be put off, so it takes their places; half of the
+        // cores stay with runs, or a flood of reading would stop all work.
+        let limit = (self.run.limit - self.reading.max(0.0)).max(0.5 * self.s.cores).max(1.0).floor();
+        let mut running = self.on_cores();
+        let unstarted = |e: &&Entry| matches!(e.state, Stage::Held | Stage::Reusing);
+        let mut all = (self.entries.len() - self.entries.values().filter(unstarted).count()) as f64;
+        loop {
+            if running >= limit || all + 1.0 > ceiling {
+                return;
+            }
+            // Earliest aim first: with a short line that ranks of worth have passed, all can be in time.
+            let Some((_, id)) = self.held.iter().map(|&id| (self.entries[&id].aim, id)).min() else {
+                return;
+            };
+            let e = &self.entries[&id];
+            let class = self.class(e.class);
+            // Sizes spread, so most end sooner than the mean; while nothing runs one is always tried.
+            let seen = &self.seen[e.class];
+            let expected = 0.7 * seen.total.mean * seen.size(e.cost);
+            let left = if class.late_worth > 0.0 { e.due } else { e.aim } - self.now;
+            if expected as Micros > left && all > 0.0 {
+                self.refuse(id, Cause::TooLate { expected: expected as Micros, left }, out);
+                continue;
+            }
+            let more = e.memory * (self.s.run_factor - 1.0);
+            if !self.memory.room(&self.s, more) {
+                if all == 0.0 {
+                    // Nothing runs that could make room: this one will never fit.
+                    self.refuse(id, Cause::NeverFits { more }, out);
+                    continue;
+                }
+                return;
+            }
+            self.memory.requests += more;
+            self.entries.get_mut(&id).expect("held above").state = Stage::Running;
+            self.held.remove(&id);
+            self.check();
+            out.push(Action::Run(id));
+            running += 1.0;
+            all += 1.0;
+        }
+    }
+}
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -131,7 +131,7 @@
 fn a_bunch_that_waits_to_start_is_no_line_for_calls() {
     // Calls are slow, so that their line is as short as it gets.
     let (mut c, now) = above_a_tier(2_000_000);
-    let abate = c.thresholds().0;
+    let abate = thresholds(&c).0;
     assert!(abate > 8.0, "{abate}");
     let mut id = 300;
     let mut refusals = || {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -291,3 +291,9 @@
     pub reusing: bool,
     pub original: Option<RequestId>,
 }
+
+/// The thresholds in force for the line to start: abatement, onset and discard.
+pub fn thresholds(c: &Controller) -> (f64, f64, f64) {
+    let [abate, onset, discard] = c.view().lines[0].thresholds;
+    (abate, onset, discard)
+}
--- a/tests/fleets.rs
+++ b/tests/fleets.rs
@@ -148,9 +148,9 @@
 fn small_thresholds_leave_room_for_chance() {
     let c = Controller::new(Settings { below: Below::Nothing, ..small() }, 1);
     // Two cores work off 8 a second at first, so 8 in the shortest aim: 1.6 and its spread make 2, not 1.
-    let (abate, onset, discard) = c.thresholds();
+    let (abate, onset, discard) = thresholds(&c);
     assert_eq!((abate, onset, discard), (1.0, 2.0, 4.0));
     let c = Controller::new(Settings { below: Below::Nothing, cores: 6.0, ..small() }, 1);
     // 24 in an aim: 2.4, 4.8 and 9.6, the lower two with 1.5 and 2.2 for chance.
-    assert_eq!(c.thresholds(), (3.0, 6.0, 9.0));
+    assert_eq!(thresholds(&c), (3.0, 6.0, 9.0));
 }
--- a/tests/modes.rs
+++ b/tests/modes.rs
@@ -16,37 +16,37 @@
 #[test]
 fn onset_comes_at_exactly_the_count() {
     let (mut c, mut id) = full();
-    let (_, onset, _) = c.thresholds();
-    while (c.waiting() as f64) < onset - 1.0 {
+    let (_, onset, _) = thresholds(&c);
+    while (c.view().held as f64) < onset - 1.0 {
         step(&mut c, 1, &[Event::Arrived(request(id, 0))]);
         id += 1;
-        assert_eq!(c.mode(), Mode::Normal, "at {}", c.waiting());
+        assert_eq!(c.mode(), Mode::Normal, "at {}", c.view().held);
     }
     step(&mut c, 1, &[Event::Arrived(request(id, 0))]);
-    assert_eq!((c.mode(), c.waiting() as f64), (Mode::Overload, onset));
+    assert_eq!((c.mode(), c.view().held as f64), (Mode::Overload, onset));
 }
 
 #[test]
 fn a_batch_that_jumps_past_discard_is_cut_there() {
     let (mut c, id) = full();
-    let (_, _, discard) = c.thresholds();
+    let (_, _, discard) = thresholds(&c);
     let batch: Vec<Event> = (id..id + 50).map(|i| Event::Arrived(request(i, 2))).collect();
     let out = step(&mut c, 1, &batch);
-    assert_eq!((c.mode(), c.waiting() as f64), (Mode::Discard, discard));
+    assert_eq!((c.mode(), c.view().held as f64), (Mode::Discard, discard));
     assert_eq!(out.iter().filter(|a| matches!(a, Action::Refuse { .. })).count() as f64, 50.0 - discard);
 }
 
 #[test]
 fn discard_lasts_until_the_count_falls_to_onset_and_overload_until_below_abatement() {
     let (mut c, id) = full();
-    let (abate, onset, _) = c.thresholds();
+    let (abate, onset, _) = thresholds(&c);
     let batch: Vec<Event> = (id..id + 50).map(|i| Event::Arrived(request(i, 2))).collect();
     step(&mut c, 1, &batch);
     let mut running: Vec<RequestId> = (1..=4).collect();
     while let Some(ended) = running.pop() {
         let out = step(&mut c, 2, &[done(ended, 100_000)]);
         running.extend(out.iter().filter_map(|a| if let Action::Run(id) = a { Some(*id) } else { None }));
-        let count = c.waiting() as f64;
+        let count = c.view().held as f64;
         let mode = match count {
             n if n > onset => Mode::Discard,
             n if n >= abate => Mode::Overload,
@@ -54,13 +54,13 @@
         };
         assert_eq!(c.mode(), mode, "at {count}");
     }
-    assert_eq!(c.waiting(), 0);
+    assert_eq!(c.view().held, 0);
 }
 
 #[test]
 fn thresholds_keep_their_order_and_fall_with_the_rate_of_success() {
     let (mut c, _) = full();
-    let before = c.thresholds();
+    let before = thresholds(&c);
     for i in 1..=4 {
         let end = Event::Finished { id: i, took: 2_000, outcome: Outcome::Error };
         step(&mut c, i as Micros * 1000, &[end]);
@@ -70,7 +70,7 @@
         step(&mut c, now, &[Event::Arrived(request(i, 2))]);
         step(&mut c, now + 2_000, &[Event::Finished { id: i, took: 900_000, outcome: Outcome::Error }]);
     }
-    let (abate, onset, discard) = c.thresholds();
+    let (abate, onset, discard) = thresholds(&c);
     assert!(1.0 <= abate && abate < onset && onset < discard);
     assert!(discard < before.2, "runs that fail must not count as work done");
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -179,7 +179,16 @@
 
 #[test]
 fn the_module_stays_short() {
-    let text = include_str!("../src/rules.rs");
-    assert!(text.lines().filter(|l| !l.trim().is_empty()).count() <= 950);
-    assert!(text.lines().all(|l| l.chars().count() <= 110));
+    let deploy = include_str!("../deploy/balancer.toml");
+    let (mut lines, mut files) = (0, 0);
+    for file in std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/src/rules")).unwrap() {
+        let path = file.unwrap().path();
+        let name = path.file_name().unwrap().to_str().unwrap().to_string();
+        assert!(deploy.contains(&format!("\"src/rules/{name}\"")), "{name} is not named under policy");
+        let text = std::fs::read_to_string(&path).unwrap();
+        lines += text.lines().filter(|l| !l.trim().is_empty()).count();
+        files += 1;
+        assert!(text.lines().all(|l| l.chars().count() <= 110), "{name}");
+    }
+    assert!(files > 5 && lines <= 950, "{lines} lines in {files} files");
 }
