Tell the module each request's tenant, and stop runs that nobody waits for, on sockets too

Cause: the second deployment's protocol names a tenant (project) and lets runs be stopped (interrupt). The node read no tenant (node/src/core/mod.rs, offer: tenant: None) and dropped the module's Halt (act: 'Running work can't be halted'), which was right for the first deployment alone: its settings say stopMode silent and no tenants. Ruled out: the connection table (156 of 384 descriptors), memory (5 of 32 MB), late answers (rules kept).

Change: Effect::Interrupt, written in order with the starts and said again on a new link if the run may go on; a rejected stop means nothing; project becomes the module's tenant, an unknown one none. The module is told that no call can be skipped, as no party has a command for it. Workers of the uwsgi side are told nothing.

--- a/node/src/core/counters.rs
+++ b/node/src/core/counters.rs
@@ -19,6 +19,8 @@
     pub runs: u64,
     /// Runs that ended well.
     pub runs_fine: u64,
+    /// Runs that nobody waited for any more and that were told to stop.
+    pub interrupted: u64,
     /// Calls placed with the layer below.
     pub calls: u64,
     /// Calls that went well.
@@ -64,8 +66,8 @@
         let c = self;
         write!(
             f,
-            "requests={} repeats={} served={} refused={} failed={} gone={} runs={} runs_fine={} calls={} \
-             calls_fine={} rejected={} malformed={} accepted={} accept_errors={} crowded_out={} links={}",
+            "requests={} repeats={} served={} refused={} failed={} gone={} runs={} runs_fine={} interrupted={} \
+             calls={} calls_fine={} rejected={} malformed={} accepted={} accept_errors={} crowded_out={} links={}",
             c.requests,
             c.repeats,
             c.served,
@@ -74,6 +76,7 @@
             c.gone,
             c.runs,
             c.runs_fine,
+            c.interrupted,
             c.calls,
             c.calls_fine,
             c.rejected,
--- a/node/src/core/handed.rs
+++ b/node/src/core/handed.rs
@@ -143,6 +143,8 @@
     /// The settings as far as they are this process's while there is another one.
     pub(super) fn shared(&self, settings: &Settings) -> Settings {
         let mut settings = settings.clone();
+        // On sockets no call can be skipped: a module that thought so would leave its run standing at the call.
+        settings.classes.iter_mut().for_each(|c| c.skip_worth = 0.0);
         if let Some(share) = self.handed.share {
             settings.memory_kb *= share;
             settings.safety.crowd = (settings.safety.crowd / 2.0).max(1.0);
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -79,6 +79,8 @@
     pub reference: Reference,
     /// The gateway that sent it, where the wire says.
     pub sender: Option<u64>,
+    /// Its tenant, by position in the settings, where the wire names one that is there.
+    pub tenant: Option<usize>,
     /// Where its answer goes.
     pub origin: Origin,
     /// Its class, by position in the settings.
@@ -162,6 +164,8 @@
     Begin(Reference, usize, Micros, Rc<[u8]>),
     /// Pass on the reply to the call that the run waits for.
     Reply(Reference, Rc<[u8]>),
+    /// Stop the run of a request of this class, which nobody waits for any more.
+    Interrupt(Reference, usize),
     /// Place a call, given up at this time.
     Call(Reference, Micros, Rc<[u8]>),
     /// Give up a call.
@@ -183,6 +187,17 @@
     NeverRan,
 }
 
+/// Which command the processor did not carry out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejected {
+    /// To start a run.
+    Begin,
+    /// To stop one.
+    Interrupt,
+    /// The reply to a call, or one that is not ours.
+    Other,
+}
+
 /// The processor's gauges, as far as it has them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Gauges {
@@ -643,10 +658,20 @@
         self.tell(now, Event::CallEnded { id, took: (now - placed).max(0), outcome });
     }
 
+    /// Whether a run that is no longer wanted may go on for all that is known: it is to be stopped once more.
+    pub fn may_interrupt_again(&self, reference: Reference) -> bool {
+        let attempt = self.by_reference.get(&reference).map(|id| &self.attempts[id]);
+        attempt.is_some_and(|a| a.origin.is_none() && matches!(a.stage, Stage::Running { .. }))
+    }
+
     /// The processor did not carry out a command for this request. A start that it rejects never ran: it goes
-    /// out a second time only in classes where that makes no difference.
-    pub fn rejected(&mut self, now: Micros, reference: Reference, start: bool) {
+    /// out a second time only in classes where that makes no difference. A stop that it rejects came too late.
+    pub fn rejected(&mut self, now: Micros, reference: Reference, command: Rejected) {
         self.counters.rejected += 1;
+        if command == Rejected::Interrupt {
+            return;
+        }
+        let start = command == Rejected::Begin;
         let Some(&id) = self.by_reference.get(&reference) else { return };
         let Stage::Running { since, answered_again, .. } = self.attempts[&id].stage else { return };
         if start {
@@ -797,7 +822,7 @@
         let request = Request {
             id,
             class: incoming.class,
-            tenant: None,
+            tenant: incoming.tenant,
             has_key: false,
             patience: Some(attempt.due - now),
             cost: incoming.cost,
@@ -851,9 +876,9 @@
                 self.wakes.insert((self.now + after, Wake::Timer(tag)));
                 self.wakes.insert((self.now + after - GAUGE_LEAD, Wake::Gauges));
             }
-            // Running work can't be halted and no call be skipped on sockets: the processor has no command
-            // for either, and the module asks for neither under such settings.
-            Action::Halt(_) | Action::SkipCall(_) => {}
+            Action::Halt(id) => self.interrupt(id),
+            // No call can be skipped on sockets: no party has a command for it, and the module's settings say so.
+            Action::SkipCall(_) => {}
         }
     }
 
@@ -975,6 +1000,17 @@
         self.effects.push(Effect::Call(attempt.incoming.reference, deadline, call.body.clone()));
     }
 
+    /// Its request is answered, or its caller gone: the run would only take the cores from others. It stays in
+    /// the table until its end is told, which may also be that it had just ended well.
+    fn interrupt(&mut self, id: RequestId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        if attempt.origin.is_none() && matches!(attempt.stage, Stage::Running { .. }) {
+            self.counters.interrupted += 1;
+            let Incoming { reference, class, .. } = attempt.incoming;
+            self.effects.push(Effect::Interrupt(reference, class));
+        }
+    }
+
     fn fail(&mut self, id: RequestId) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let held = matches!(attempt.stage, Stage::Held);
--- a/node/src/core/tests.rs
+++ b/node/src/core/tests.rs
@@ -29,6 +29,7 @@
 pub fn incoming(reference: Reference, now: Micros, key: Option<&str>) -> Incoming {
     Incoming {
         reference,
+        tenant: None,
         sender: None,
         origin: Origin { connection: 1, number: reference },
         class: usize::from(key.is_some()),
@@ -429,3 +430,24 @@
         assert_eq!(begun(&core.effects()), [3]);
     }
 }
+
+/// The module was told no tenant at all: one that flooded the fleet was worth as much as those within their shares.
+#[test]
+fn a_tenant_beyond_its_share_is_worth_less() {
+    let tenants = [1.0, 1000.0].map(|quota_rps| Tenant { quota_rps }).to_vec();
+    let classes = vec![Class::default()];
+    let settings = Settings { classes, tenants, over_share_worth: 0.1, cores: 64.0, ..Settings::default() };
+    let mut core = Core::new(settings, &["free".into()], 7, 2000, 4096, Bounds::within(192 << 20, 960));
+    core.up(SECOND, 0, false);
+    let mut worth = |reference, tenant| {
+        core.arrived(SECOND, Incoming { tenant, ..incoming(reference, SECOND, None) });
+        let id = core.by_reference[&reference];
+        core.module.as_ref().unwrap().standing(id).expect("the cores take it").worth
+    };
+    assert_eq!(worth(1, Some(0)), 0.9, "within its share");
+    for reference in 2..30 {
+        worth(reference, Some(0));
+    }
+    let (loud, quiet, unknown) = (worth(31, Some(0)), worth(32, Some(1)), worth(33, None));
+    assert!(loud < 0.3 && quiet == 0.9 && unknown == 0.9, "{loud} {quiet} {unknown}");
+}
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -182,6 +182,7 @@
             memory_mb: file.limits.memory_mb,
             tuning: Tuning {
                 classes: file.settings.class_names(),
+                tenants: file.settings.tenant_names(),
                 gauges: file.settings.gauge_names().to_vec(),
                 round: file.settings.round(),
                 marked: file.settings.marks_retry(),
--- a/node/src/net/front.rs
+++ b/node/src/net/front.rs
@@ -127,7 +127,9 @@
         }
         machine.feed(&bytes[..n]);
         hub.borrow_mut().stirred(id);
-        while let Some(message) = machine.next(|name| hub.borrow().class(name)) {
+        while let Some(message) =
+            machine.next(|name| hub.borrow().class(name), |name| hub.borrow().tenant(name))
+        {
             hub.borrow_mut().gateway(id, message);
         }
         if machine.broken() {
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -10,10 +10,10 @@
 use super::routes::{Backend, Named, Uwsgi};
 use crate::core::counters::Files;
 use crate::core::durable::Durable;
-use crate::core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference};
+use crate::core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference, Rejected};
 use crate::log::log;
 use crate::wire::jsonrpc::{self, Code, Message, Work};
-use crate::wire::processor::{Notice, RunEnd};
+use crate::wire::processor::{Command, Notice, RunEnd};
 use crate::wire::uwsgi::{self, Packet, Response, Status};
 use pipitlever::{Idempotency, Micros, Outcome, Settings};
 use pipitlever_handover::predecessor::Predecessor;
@@ -92,6 +92,8 @@
     pub settings: Settings,
     /// The names of the classes, in their order there.
     pub classes: Vec<String>,
+    /// The names of the tenants, in their order there.
+    pub tenants: Vec<String>,
     /// The names of the gauges, as the processor lists them.
     pub gauges: Vec<String>,
     /// The shortest gap between two rounds of decisions.
@@ -171,6 +173,7 @@
     pub salt: Salt,
     classes: Vec<Class>,
     gauge_names: Vec<String>,
+    tenants: Vec<String>,
     draining: bool,
     closing: bool,
     /// The level that the module wants told on the way out.
@@ -182,7 +185,7 @@
     /// A hub for these settings.
     pub fn new(tuning: Tuning, seed: u64, salt: Salt, bounds: Bounds) -> Hub {
         let classes = classes(&tuning);
-        let Tuning { settings, gauges: gauge_names, round, marked, uwsgi, .. } = tuning;
+        let Tuning { settings, gauges: gauge_names, tenants, round, marked, uwsgi, .. } = tuning;
         let names: Vec<Rc<str>> = classes.iter().map(|c| c.name.clone()).collect();
         let worked = classes.iter().any(|c| c.workers_path.is_some());
         let most_result = if worked { uwsgi.most_response } else { jsonrpc::MOST_RESULT };
@@ -216,6 +219,7 @@
             leaving: Nudge::new(),
             classes,
             gauge_names,
+            tenants,
             draining: false,
             closing: false,
             last_level: None,
@@ -248,6 +252,7 @@
         }
         self.uwsgi.routes = new.uwsgi.routes;
         self.gauge_names = new.gauges;
+        self.tenants = new.tenants;
         self.core.marked = new.marked;
         Ok(self.core.retune(new.settings, new.round, &names, &seats))
     }
@@ -296,6 +301,9 @@
             Effect::Reply(reference, body) => {
                 self.link.command(Told::Answer(reference), body);
             }
+            // A worker knows no way to be stopped but the end of its connection, which says nothing of the run.
+            Effect::Interrupt(_, class) if self.classes[class].workers_path.is_some() => {}
+            Effect::Interrupt(reference, _) => self.link.command(Told::Interrupt(reference), Rc::from([])),
             Effect::Gauges => self.link.ask(),
             Effect::Call(reference, deadline, body) => {
                 if self.calls.address.is_some() {
@@ -394,6 +402,11 @@
         self.core.classes.named(name)
     }
 
+    /// The tenant of this name, by position.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|t| t == name)
+    }
+
     fn take(&mut self, incoming: Incoming) {
         self.places.opened(incoming.origin, self.clock.now(), incoming.reference, incoming.class);
         self.tell(|core, now| core.arrived(now, incoming));
--- a/node/src/net/hub/clients.rs
+++ b/node/src/net/hub/clients.rs
@@ -38,6 +38,7 @@
         let (key, body, memory_kb) = (key.map(Rc::from), Rc::from(body), self.uwsgi.room_kb);
         Ok(Incoming {
             reference: self.new_name(),
+            tenant: None,
             sender: None,
             origin: Origin { connection, number: 1 },
             class,
--- a/node/src/net/hub/gateways.rs
+++ b/node/src/net/hub/gateways.rs
@@ -75,6 +75,7 @@
         Ok(Incoming {
             reference: work.reference,
             sender: work.sender,
+            tenant: work.tenant,
             origin: Origin { connection, number: work.id },
             class,
             arrived,
--- a/node/src/net/hub/notices.rs
+++ b/node/src/net/hub/notices.rs
@@ -40,8 +40,13 @@
                 self.tell(|core, now| core.gauges(now, gauges));
                 self.link.answered(self.clock.now(), question, &mut self.core);
             }
-            Notice::Reject { start, id } => {
-                self.tell(|core, now| core.rejected(now, id, start));
+            Notice::Reject { command, id } => {
+                let command = match command {
+                    Command::Begin => Rejected::Begin,
+                    Command::Interrupt => Rejected::Interrupt,
+                    Command::Other => Rejected::Other,
+                };
+                self.tell(|core, now| core.rejected(now, id, command));
             }
         }
     }
--- a/node/src/net/link.rs
+++ b/node/src/net/link.rs
@@ -20,6 +20,8 @@
     Begin(Reference, bool, Rc<str>),
     /// The reply to its call.
     Answer(Reference),
+    /// To stop its run.
+    Interrupt(Reference),
 }
 
 /// A command to the processor, as it goes out.
@@ -115,6 +117,7 @@
             match told {
                 Told::Begin(reference, _, class) => processor::begin(out, *reference, class, body),
                 Told::Answer(reference) => processor::answer(out, *reference, body),
+                Told::Interrupt(reference) => processor::interrupt(out, *reference),
             }
         }
         processor::usage(out, self.questions);
@@ -141,6 +144,7 @@
             let again = match &command.told {
                 Told::Begin(reference, once, _) => !once && core.may_begin_again(*reference),
                 Told::Answer(reference) => core.may_answer_again(*reference),
+                Told::Interrupt(reference) => core.may_interrupt_again(*reference),
             };
             if again {
                 self.commands.push_front(command);
--- a/node/src/wire/jsonrpc.rs
+++ b/node/src/wire/jsonrpc.rs
@@ -68,6 +68,8 @@
     pub reference: u64,
     /// The number of the gateway, where it says one.
     pub sender: Option<u64>,
+    /// Its tenant, by position; none where it names none, or one that the settings don't have.
+    pub tenant: Option<usize>,
     /// When it came to the machine, in Unix milliseconds.
     pub since: f64,
     /// How long its caller waits from then, in milliseconds.
@@ -125,6 +127,8 @@
     // Only captures want it: whatever else stands there is no error.
     #[serde(borrow, default)]
     sender: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    project: Option<Text<'a>>,
     since: f64,
     #[serde(default)]
     allow: Option<f64>,
@@ -172,8 +176,12 @@
         self.broken
     }
 
-    /// The next whole message. Classes have their positions by their names.
-    pub fn next(&mut self, class: impl Fn(&str) -> Option<usize>) -> Option<Message> {
+    /// The next whole message. Classes and tenants have their positions by their names.
+    pub fn next(
+        &mut self,
+        class: impl Fn(&str) -> Option<usize>,
+        tenant: impl Fn(&str) -> Option<usize>,
+    ) -> Option<Message> {
         if self.broken {
             return None;
         }
@@ -188,13 +196,18 @@
         found?;
         // The line is read where it stands; the buffer comes back behind it.
         let buffer = std::mem::take(&mut self.buffer);
-        let message = self.message(&buffer[self.used..=end], class);
+        let message = self.message(&buffer[self.used..=end], class, tenant);
         self.buffer = buffer;
         (self.used, self.searched) = (end + 1, end + 1);
         Some(message)
     }
 
-    fn message(&mut self, line: &[u8], class: impl Fn(&str) -> Option<usize>) -> Message {
+    fn message(
+        &mut self,
+        line: &[u8],
+        class: impl Fn(&str) -> Option<usize>,
+        tenant: impl Fn(&str) -> Option<usize>,
+    ) -> Message {
         let Ok(value) = serde_json::from_slice::<Envelope>(line) else {
             let json = serde_json::from_slice::<serde::de::IgnoredAny>(line).is_ok();
             return Message::Bad(None, if json { Code::Request } else { Code::Parse });
@@ -219,14 +232,19 @@
         if method == "alive" {
             return Message::Alive(id);
         }
-        match work(id, params, || class(&method)) {
+        match work(id, params, || class(&method), tenant) {
             Ok(work) => Message::Work(work),
             Err(code) => Message::Bad(Some(id), code),
         }
     }
 }
 
-fn work(id: u64, params: Option<&RawValue>, class: impl FnOnce() -> Option<usize>) -> Result<Work, Code> {
+fn work(
+    id: u64,
+    params: Option<&RawValue>,
+    class: impl FnOnce() -> Option<usize>,
+    tenant: impl FnOnce(&str) -> Option<usize>,
+) -> Result<Work, Code> {
     let params = params.ok_or(Code::Params)?;
     let p: Params = serde_json::from_str(params.get()).map_err(|_| Code::Params)?;
     let within = |value: f64, least: f64, most: f64| (least..=most).contains(&value);
@@ -252,6 +270,7 @@
         class: class().ok_or(Code::Method)?,
         reference,
         sender: p.sender.and_then(|s| s.get().parse().ok()),
+        tenant: p.project.and_then(|name| tenant(&name.0)),
         since: p.since,
         allow: p.allow,
         dup: p.dup == Some(1.0),
@@ -346,7 +365,7 @@
     fn messages(bytes: &[u8]) -> Vec<Message> {
         let mut gateway = Gateway::default();
         gateway.feed(bytes);
-        std::iter::from_fn(|| gateway.next(none)).collect()
+        std::iter::from_fn(|| gateway.next(none, none)).collect()
     }
 
     #[test]
@@ -375,7 +394,7 @@
             let mut gateway = Gateway::default();
             let pieces = text.bytes().flat_map(|b| {
                 gateway.feed(&[b]);
-                gateway.next(none)
+                gateway.next(none, none)
             });
             assert_eq!(pieces.collect::<Vec<_>>(), expected, "{text:?} in pieces");
         }
@@ -393,9 +412,9 @@
     fn a_line_too_long_ends_the_reading() {
         let mut gateway = Gateway::default();
         gateway.feed(&[b' '; MOST_LINE + 1]);
-        assert_eq!(gateway.next(none), Some(Message::Bad(None, Code::Request)));
+        assert_eq!(gateway.next(none, none), Some(Message::Bad(None, Code::Request)));
         gateway.feed(b"\n{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"alive\"}\n");
-        assert!(gateway.broken() && gateway.next(none).is_none());
+        assert!(gateway.broken() && gateway.next(none, none).is_none());
     }
 
     #[test]
--- a/node/src/wire/processor.rs
+++ b/node/src/wire/processor.rs
@@ -17,6 +17,17 @@
     Late,
 }
 
+/// A command, as a rejection names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// To start a run.
+    Begin,
+    /// To stop one.
+    Interrupt,
+    /// Any other.
+    Other,
+}
+
 /// What the processor says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
@@ -28,8 +39,8 @@
     Ask { id: u64, body: Rc<[u8]> },
     /// The gauges, in the order of the settings, and the number of the question that asked for them.
     Used { question: Option<u64>, gauges: Figures },
-    /// A command was not carried out; whether it was to start a run.
-    Reject { start: bool, id: u64 },
+    /// A command was not carried out.
+    Reject { command: Command, id: u64 },
 }
 
 /// The most gauges that are looked at: the settings name a handful.
@@ -131,8 +142,12 @@
                 }
                 "reject" => {
                     // A reject that names no request of ours concerns none.
-                    let start = word(1).ok_or(Malformed)? == "begin";
-                    Notice::Reject { start, id: id(2).unwrap_or(0) }
+                    let command = match word(1).ok_or(Malformed)? {
+                        "begin" => Command::Begin,
+                        "interrupt" => Command::Interrupt,
+                        _ => Command::Other,
+                    };
+                    Notice::Reject { command, id: id(2).unwrap_or(0) }
                 }
                 "remark" => continue,
                 _ => return Err(Malformed),
@@ -157,6 +172,12 @@
     with_body(out, format_args!("answer {id:016x} {}", reply.len()), reply);
 }
 
+/// Stop a run, in the way that the settings name.
+pub fn interrupt(out: &mut Vec<u8>, id: u64) {
+    // A vector takes all that is written to it.
+    let _ = write!(out, "interrupt {id:016x}\r\n");
+}
+
 /// Ask for the gauges, with a number that comes back with them.
 pub fn usage(out: &mut Vec<u8>, question: u64) {
     // A vector takes all that is written to it.
@@ -191,7 +212,7 @@
             Notice::Used { question, gauges }
         };
         // Times with a fraction once broke the link: `complete 40 ... broken_off 1655.661 0`.
-        let cases: [(&str, Result<Option<Notice>, Malformed>); 19] = [
+        let cases: [(&str, Result<Option<Notice>, Malformed>); 20] = [
             ("hi running 12.5\r\n", Ok(Some(Notice::Hi { cold: false, ms: 12.5 }))),
             ("hi starting 0\r\n", Ok(Some(Notice::Hi { cold: true, ms: 0.0 }))),
             (
@@ -207,7 +228,14 @@
             ("ask 2 821b2d98a3d2e319 1\r\nx\r\n", Ok(Some(Notice::Ask { id: ID, body: Rc::from(*b"x") }))),
             ("used t 0.5 3 0.1 12\r\n", Ok(Some(used(None, &[0.5, 3.0, 0.1, 12.0])))),
             ("used 7 0.5\r\n", Ok(Some(used(Some(7), &[0.5])))),
-            ("reject begin 821b2d98a3d2e319\r\n", Ok(Some(Notice::Reject { start: true, id: ID }))),
+            (
+                "reject begin 821b2d98a3d2e319\r\n",
+                Ok(Some(Notice::Reject { command: Command::Begin, id: ID })),
+            ),
+            (
+                "reject interrupt 821b2d98a3d2e319\r\n",
+                Ok(Some(Notice::Reject { command: Command::Interrupt, id: ID })),
+            ),
             ("remark 3 hello there 4\r\n", Ok(None)),
             ("complete 1 821b2d98a3d2e319 fine 7 4\r\nabc", Ok(None)),
             ("complete 1 821b2d98a3d2e319 fine 7 1\r\nabcd", Err(Malformed)),
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -380,6 +380,9 @@
                 self.say(used.as_bytes());
                 continue;
             }
+            if words[0] == "interrupt" {
+                return (words, Vec::new());
+            }
             let length: usize = words.last().unwrap().parse().unwrap_or_else(|_| panic!("{words:?}"));
             let mut body = vec![0; length + 2];
             self.link.as_mut().unwrap().1.read_exact(&mut body).unwrap();
