Let go of everything others can serve while a server's cores stand still

And finished() learned the time of failed runs, so a server whose runs fail at once looked quick and took more.

--- a/lab/src/words.rs
+++ b/lab/src/words.rs
@@ -75,6 +75,7 @@
             format!("it could not have ended in time: {} expected, {} left", ms(*expected), ms(*left))
         }
         Cause::NeverFits { more } => format!("memory: it needs {more:.0} KB more, and nothing runs"),
+        Cause::Still => "the cores stood still: all were taken, and nothing ended".into(),
         Cause::Call(how) => format!("its call ended: {}", outcome(*how)),
     }
 }
@@ -92,6 +93,7 @@
         Cause::Due(_) => "due",
         Cause::TooLate { .. } => "too-late",
         Cause::NeverFits { .. } => "never-fits",
+        Cause::Still => "still",
         Cause::Call(_) => "call",
     }
 }
--- a/src/interface/view.rs
+++ b/src/interface/view.rs
@@ -68,6 +68,8 @@
         /// What it needs, in KB.
         more: f64,
     },
+    /// The cores stand still: nothing that waits for them gets on.
+    Still,
     /// Its call ended so, and may have taken effect.
     Call(Outcome),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub mod interface;
 mod rules;
+mod view;
 
 pub use interface::*;
 pub use rules::Controller;
--- a/src/rules/calls.rs
+++ b/src/rules/calls.rs
@@ -3,21 +3,21 @@
 use super::*;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct Calls {
-    pub(super) placed: f64,
-    pub(super) lingering: VecDeque<Micros>,
+pub(crate) struct Calls {
+    pub(crate) placed: f64,
+    pub(crate) lingering: VecDeque<Micros>,
     /// Seconds of calls in hand that may still be spent; below nought after a slow call.
-    pub(super) credit: f64,
-    pub(super) at: Micros,
-    pub(super) limit: f64,
-    pub(super) latency: Timing,
+    pub(crate) credit: f64,
+    pub(crate) at: Micros,
+    pub(crate) limit: f64,
+    pub(crate) latency: Timing,
 }
 
 impl Calls {
     /// The least and the most that the bound may be. What a shared layer survives is some times
     /// what it does well; a fifth of the share keeps it busy. A tier tells no share: there it lies
     /// from a call a core to as many calls as there may be runs.
-    pub(super) fn bounds(s: &Settings) -> [f64; 2] {
+    pub(crate) fn bounds(s: &Settings) -> [f64; 2] {
         match s.below {
             Below::Tier => [s.cores.max(1.0), (0.65 * s.safety.crowd * s.cores).max(s.cores.max(1.0))],
             _ => [0.3 * s.call_share, 0.45 * s.call_share],
@@ -26,7 +26,7 @@
 
     /// Credit comes in at the bound and is spent by calls in hand, so the mean in hand is the bound however
     /// slow calls are, also where it is far below one call at a time. A fifth of the rule's span is saved up.
-    pub(super) fn advance(&mut self, s: &Settings, now: Micros) {
+    pub(crate) fn advance(&mut self, s: &Settings, now: Micros) {
         while self.lingering.front().is_some_and(|&until| until <= now) {
             self.lingering.pop_front();
         }
@@ -35,17 +35,17 @@
         self.at = now;
     }
 
-    pub(super) fn in_hand(&self) -> f64 {
+    pub(crate) fn in_hand(&self) -> f64 {
         self.placed + self.lingering.len() as f64
     }
 
     /// A chance bunch, which the fleet as a whole evens out, may pass the bound twice over, or be one call:
     /// larger ones would crowd a layer that is already slow.
-    pub(super) fn bunch(&self) -> f64 {
+    pub(crate) fn bunch(&self) -> f64 {
         (2.0 * self.limit).max(1.0)
     }
 
-    pub(super) fn room(&self, s: &Settings, ceiling: f64) -> bool {
+    pub(crate) fn room(&self, s: &Settings, ceiling: f64) -> bool {
         let hands = self.in_hand() + 1.0;
         if s.below != Below::Shared {
             return hands <= self.limit.min(ceiling);
@@ -56,7 +56,7 @@
     /// When a call is given up: all servers may find themselves with a slow call at once. What the bound and
     /// the saved credit leave of nine tenths of the share over the rule's span is what calls may overspend,
     /// lingering included.
-    pub(super) fn patience(&self, s: &Settings) -> Micros {
+    pub(crate) fn patience(&self, s: &Settings) -> Micros {
         if s.below != Below::Shared {
             return Micros::MAX;
         }
@@ -67,7 +67,7 @@
 
     /// Calls a second that the bound allows. A tier's share is not told, and what its window lets through is
     /// no promise: there the whole line is to be one that hurts nobody.
-    pub(super) fn rate(&self, s: &Settings) -> f64 {
+    pub(crate) fn rate(&self, s: &Settings) -> f64 {
         if self.latency.mean == 0.0 {
             return f64::INFINITY;
         }
@@ -75,7 +75,7 @@
         share * self.limit / self.latency.mean * 1e6
     }
 
-    pub(super) fn ended(&mut self, s: &Settings, now: Micros, took: f64, outcome: Outcome) {
+    pub(crate) fn ended(&mut self, s: &Settings, now: Micros, took: f64, outcome: Outcome) {
         self.placed -= 1.0;
         if outcome == Outcome::Busy || outcome == Outcome::Unreachable {
             self.credit -= self.latency.mean;
--- a/src/rules/control.rs
+++ b/src/rules/control.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 impl Controller {
-    pub(super) fn leave(&mut self, left: Micros, out: &mut Vec<Action>) {
+    pub(crate) fn leave(&mut self, left: Micros, out: &mut Vec<Action>) {
         let stop = self.now + (left - 2 * self.tick()).max(0);
         self.drain = Some(Drain { last_arrival: self.now + self.s.safety.drain_grace, stop });
         for e in self.entries.values_mut() {
@@ -17,12 +17,17 @@
     }
 
     /// The slow loop, a tenth of the shortest aim apart: thresholds, run limit, cut and level.
-    pub(super) fn control(&mut self, out: &mut Vec<Action>) {
+    pub(crate) fn control(&mut self, out: &mut Vec<Action>) {
         if self.now < self.next_control {
             return;
         }
         self.next_control = self.now + (0.1 * self.aim) as Micros;
-        self.run.adjust(&self.s, self.now, self.core_use, self.held.len());
+        let (running, slot) = (self.on_cores(), self.run.slot);
+        // Where nothing ends, runs wait for no disk: more of them would only be lost as well.
+        let moves = (self.now - self.still.since) as f64 <= 3.0 * slot / running.max(1.0);
+        let grows = moves && !self.held.is_empty();
+        self.run.adjust(&self.s, self.now, self.core_use, grows);
+        self.still.look(self.now, running, &self.s, slot, self.aim);
         let rates = [self.rate(), self.calls.rate(&self.s)];
         let age = self.now - self.born.unwrap_or(self.now);
         for (i, rate) in rates.into_iter().enumerate() {
@@ -31,7 +36,7 @@
             self.gates[i].set(self.now, rate, self.aim, [count, waiting], age);
         }
         self.close_idle(out);
-        let cut = self.gates[0].cut;
+        let cut = if self.still.now { 1.0 } else { self.gates[0].cut };
         let level = match self.s.level {
             LevelKind::Threshold => cut,
             LevelKind::Share => 1.0 - cut,
@@ -50,7 +55,7 @@
     /// Idle connections fill the table, which takes of the cores and then shuts callers out. A caller back
     /// within half an aim is worth waiting for: connections beyond what that brings, and beyond four a core
     /// that do no harm, are of callers that aren't, and are closed sooner. With few callers none is closed.
-    pub(super) fn close_idle(&mut self, out: &mut Vec<Action>) {
+    pub(crate) fn close_idle(&mut self, out: &mut Vec<Action>) {
         let useful = 0.5 * self.gates[0].arriving * self.aim / 1e6 + 4.0 * self.s.cores;
         let idle = if self.connections > useful { 0.8 * self.idle } else { 1.1 * self.idle };
         let idle = idle.max(0.5 * self.aim).min(self.s.keepalive_max as f64);
--- a/src/rules/gate.rs
+++ b/src/rules/gate.rs
@@ -3,22 +3,22 @@
 use super::*;
 
 /// The share of the aim that a line may take without hurting anybody, and that beyond which nothing joins it.
-pub(super) const SHORT: f64 = 0.1;
-pub(super) const LONG: f64 = 0.4;
+pub(crate) const SHORT: f64 = 0.1;
+pub(crate) const LONG: f64 = 0.4;
 
 /// The three modes on the count waiting to start, checked at every change of it (policy P1).
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct Modes {
-    pub(super) mode: Mode,
-    pub(super) abate: f64,
-    pub(super) onset: f64,
-    pub(super) discard: f64,
+pub(crate) struct Modes {
+    pub(crate) mode: Mode,
+    pub(crate) abate: f64,
+    pub(crate) onset: f64,
+    pub(crate) discard: f64,
 }
 
 impl Modes {
     /// The paper's thresholds are fixed. Here each is the number that the measured rate of success works off
     /// in a share of the aim, so slow servers, heavy requests and runs that fail fast all lower them.
-    pub(super) fn set(&mut self, rate: f64, aim: f64) {
+    pub(crate) fn set(&mut self, rate: f64, aim: f64) {
         // A tenth of the aim is a line too short to hurt; a fifth leaves most of the aim to be read, to run
         // and to call in; beyond four tenths what is read last is unlikely to be answered within its aim.
         let drained = rate * aim / 1e6;
@@ -29,7 +29,7 @@
         self.discard = (LONG * drained).floor().max(self.onset + 2.0);
     }
 
-    pub(super) fn check(&mut self, count: f64) {
+    pub(crate) fn check(&mut self, count: f64) {
         self.mode = match self.mode {
             _ if count >= self.discard => Mode::Discard,
             Mode::Normal if count >= self.onset => Mode::Overload,
@@ -45,22 +45,22 @@
 /// The paper's control of one line: the modes, and a cut on rank that says what ranks high. One gate guards
 /// the line to start; a second one, an extension, guards the line of requests that still need a call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct Gate {
-    pub(super) modes: Modes,
-    pub(super) recent: VecDeque<(Micros, f64)>,
+pub(crate) struct Gate {
+    pub(crate) modes: Modes,
+    pub(crate) recent: VecDeque<(Micros, f64)>,
     /// Arrivals a second.
-    pub(super) arriving: f64,
-    pub(super) cut: f64,
+    pub(crate) arriving: f64,
+    pub(crate) cut: f64,
 }
 
 impl Gate {
-    pub(super) fn new(rate: f64, aim: f64) -> Gate {
+    pub(crate) fn new(rate: f64, aim: f64) -> Gate {
         let mut modes = Modes { mode: Mode::Normal, abate: 1.0, onset: 2.0, discard: 4.0 };
         modes.set(rate, aim);
         Gate { modes, recent: VecDeque::new(), arriving: 0.0, cut: 0.0 }
     }
 
-    pub(super) fn takes(&self, worth: f64) -> bool {
+    pub(crate) fn takes(&self, worth: f64) -> bool {
         match self.modes.mode {
             Mode::Normal => true,
             Mode::Overload => worth >= self.cut,
@@ -70,7 +70,7 @@
 
     /// Sets the thresholds, and puts the cut where the share of arrivals above it is what can be worked off,
     /// less as the line grows. Arrivals are counted over two aims: some dozens of requests.
-    pub(super) fn set(&mut self, now: Micros, rate: f64, aim: f64, [count, waiting]: [f64; 2], age: Micros) {
+    pub(crate) fn set(&mut self, now: Micros, rate: f64, aim: f64, [count, waiting]: [f64; 2], age: Micros) {
         self.modes.set(rate, aim);
         self.modes.check(count);
         let span = 2.0 * aim;
--- a/src/rules/limit.rs
+++ b/src/rules/limit.rs
@@ -3,30 +3,30 @@
 use super::*;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct RunLimit {
-    pub(super) limit: f64,
-    pub(super) started: Micros,
+pub(crate) struct RunLimit {
+    pub(crate) limit: f64,
+    pub(crate) started: Micros,
     /// Smoothed ratio of time on the cores to the best of the class.
-    pub(super) stretch: f64,
+    pub(crate) stretch: f64,
     /// Smoothed time on the cores of all ended runs, and the share that succeeded.
-    pub(super) slot: f64,
-    pub(super) success: f64,
+    pub(crate) slot: f64,
+    pub(crate) success: f64,
 }
 
 impl RunLimit {
     /// The crowd that the cores survive at this moment, with a third kept back: the mean is over a span,
     /// and runs come back from calls and disks unbidden.
-    pub(super) fn ceiling(&self, s: &Settings, now: Micros) -> f64 {
+    pub(crate) fn ceiling(&self, s: &Settings, now: Micros) -> f64 {
         let cold_for = s.safety.cold_for.max(1) as f64;
         let age = if s.cold { (now - self.started) as f64 / cold_for } else { 1.0 };
         let speed = (s.safety.cold_from + (1.0 - s.safety.cold_from) * age).min(1.0);
         (0.65 * (1.0 + (s.safety.crowd - 1.0) * speed) * s.cores).max(1.0)
     }
 
-    pub(super) fn adjust(&mut self, s: &Settings, now: Micros, core_use: f64, held: usize) {
+    pub(crate) fn adjust(&mut self, s: &Settings, now: Micros, core_use: f64, grows: bool) {
         let floor = s.cores.max(1.0);
         // Cores idle while work is held: runs wait for a disk, so more may run, whatever latency says.
-        if core_use < 0.9 && held > 0 {
+        if core_use < 0.9 && grows {
             self.limit = (self.limit * 1.15).max(self.limit + 1.0);
         } else if self.stretch > 2.0 || core_use > 0.97 {
             // Cores are busy: each further run only slows the others.
--- a/src/rules/memory.rs
+++ b/src/rules/memory.rs
@@ -3,35 +3,35 @@
 use super::*;
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(super) struct Memory {
-    pub(super) requests: f64,
-    pub(super) keys: BTreeSet<(Micros, RequestId)>,
-    pub(super) expiry: BTreeMap<RequestId, Micros>,
+pub(crate) struct Memory {
+    pub(crate) requests: f64,
+    pub(crate) keys: BTreeSet<(Micros, RequestId)>,
+    pub(crate) expiry: BTreeMap<RequestId, Micros>,
 }
 
 impl Memory {
-    pub(super) fn used(&self, s: &Settings) -> f64 {
+    pub(crate) fn used(&self, s: &Settings) -> f64 {
         self.requests + self.keys.len() as f64 * s.key_kb
     }
 
     /// Room is asked for before a run or a key; a tenth stays free, as reading takes memory unasked.
-    pub(super) fn room(&self, s: &Settings, more: f64) -> bool {
+    pub(crate) fn room(&self, s: &Settings, more: f64) -> bool {
         self.used(s) + more <= 0.9 * s.memory_kb
     }
 
-    pub(super) fn keep(&mut self, id: RequestId, until: Micros) {
+    pub(crate) fn keep(&mut self, id: RequestId, until: Micros) {
         self.forget(id);
         self.keys.insert((until, id));
         self.expiry.insert(id, until);
     }
 
-    pub(super) fn forget(&mut self, id: RequestId) {
+    pub(crate) fn forget(&mut self, id: RequestId) {
         if let Some(until) = self.expiry.remove(&id) {
             self.keys.remove(&(until, id));
         }
     }
 
-    pub(super) fn expire(&mut self, now: Micros) {
+    pub(crate) fn expire(&mut self, now: Micros) {
         while let Some(&(until, id)) = self.keys.first().filter(|k| k.0 < now) {
             self.keys.remove(&(until, id));
             self.expiry.remove(&id);
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -1,8 +1,7 @@
 //! All decisions. The types, events and actions are in `src/interface/`.
 //!
-//! The ordinary path is the hysteretic control of Gaidamaka et al.: three modes on the count of requests
-//! waiting to start, and a companion loop for how many of them run. `docs/design.md` tells what was kept
-//! and what was changed. Tuned values are shares of an aim or multiples of cores, each with its reason.
+//! The ordinary path is the hysteretic control of Gaidamaka et al.; `docs/design.md` tells what was kept and
+//! what was changed. Tuned values are shares of an aim or multiples of cores, each with its reason.
 
 mod calls;
 mod control;
@@ -12,33 +11,34 @@
 mod rank;
 mod requests;
 mod start;
+mod still;
 mod timing;
-mod view;
 
-use self::{calls::Calls, gate::*, limit::RunLimit, memory::Memory, rank::Rank, timing::*};
+pub(crate) use self::gate::Gate;
+use self::{calls::Calls, gate::*, limit::RunLimit, memory::Memory, rank::Rank, still::Still, timing::*};
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Entry {
-    class: usize,
-    state: Stage,
-    due: Micros,
-    aim: Micros,
-    worth: f64,
-    cost: f64,
-    memory: f64,
-    retry: bool,
-    answered: bool,
-    kept: bool,
-    off_cores: Micros,
-    parked_at: Micros,
+pub(crate) struct Entry {
+    pub(crate) class: usize,
+    pub(crate) state: Stage,
+    pub(crate) due: Micros,
+    pub(crate) aim: Micros,
+    pub(crate) worth: f64,
+    pub(crate) cost: f64,
+    pub(crate) memory: f64,
+    pub(crate) retry: bool,
+    pub(crate) answered: bool,
+    pub(crate) kept: bool,
+    pub(crate) off_cores: Micros,
+    pub(crate) parked_at: Micros,
 }
 
 /// The way out, once the notice to leave has come.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct Drain {
+pub(crate) struct Drain {
     /// What arrived later than this must not run.
     last_arrival: Micros,
     /// Everything read is answered by then.
@@ -53,34 +53,36 @@
 /// Decides for one server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Controller {
-    s: Settings,
-    now: Micros,
-    born: Option<Micros>,
-    random: u64,
-    entries: BTreeMap<RequestId, Entry>,
-    held: BTreeSet<RequestId>,
+    pub(crate) s: Settings,
+    pub(crate) now: Micros,
+    pub(crate) born: Option<Micros>,
+    pub(crate) random: u64,
+    pub(crate) entries: BTreeMap<RequestId, Entry>,
+    pub(crate) held: BTreeSet<RequestId>,
     /// The gates of the line to start and of the line for calls.
-    gates: [Gate; 2],
-    told: f64,
+    pub(crate) gates: [Gate; 2],
+    pub(crate) told: f64,
     /// Smoothed time that requests stood unread.
-    unread: f64,
-    seen: Vec<Seen>,
-    rank: Rank,
-    run: RunLimit,
-    calls: Calls,
-    memory: Memory,
-    drain: Option<Drain>,
-    next_control: Micros,
-    core_use: f64,
+    pub(crate) unread: f64,
+    pub(crate) seen: Vec<Seen>,
+    pub(crate) rank: Rank,
+    pub(crate) run: RunLimit,
+    pub(crate) calls: Calls,
+    #[serde(default)]
+    pub(crate) still: Still,
+    pub(crate) memory: Memory,
+    pub(crate) drain: Option<Drain>,
+    pub(crate) next_control: Micros,
+    pub(crate) core_use: f64,
     /// Smoothed number on the cores beyond runs: being read, less the runs that wait for a disk.
-    reading: f64,
-    aim: f64,
+    pub(crate) reading: f64,
+    pub(crate) aim: f64,
     /// Open connections, and how long one may be idle.
-    connections: f64,
-    idle: f64,
+    pub(crate) connections: f64,
+    pub(crate) idle: f64,
     /// Why requests were turned away or failed in the last step.
     #[serde(skip)]
-    why: Vec<(RequestId, Cause)>,
+    pub(crate) why: Vec<(RequestId, Cause)>,
 }
 
 impl Controller {
@@ -113,6 +115,7 @@
                 limit: if s.below == Below::Tier { Calls::bounds(&s)[1] } else { 0.4 * s.call_share },
                 latency: Timing::default(),
             },
+            still: Still::default(),
             memory: Memory::default(),
             drain: None,
             next_control: 0,
@@ -163,6 +166,7 @@
                 Event::Finished { id, took, outcome } => self.finished(*id, *took, *outcome),
                 Event::Gone(id) => self.gone(*id, out),
                 Event::NeedsCall(id) => {
+                    self.still.moved(now);
                     if let Some(e) = self.entries.get_mut(id) {
                         e.state = Stage::Parked;
                         e.parked_at = now;
@@ -198,7 +202,7 @@
         (self.s.safety.answer_slack / 3).max(1000)
     }
 
-    fn on_cores(&self) -> f64 {
+    pub(crate) fn on_cores(&self) -> f64 {
         self.entries.values().filter(|e| e.state == Stage::Running).count() as f64
     }
 
@@ -207,7 +211,7 @@
     }
 
     /// Requests a second that can be finished well: Little's law on the places on the cores.
-    fn rate(&self) -> f64 {
+    pub(crate) fn rate(&self) -> f64 {
         self.run.limit / self.run.slot.max(1.0) * 1e6 * self.run.success
     }
 
@@ -215,7 +219,7 @@
     /// and need calls. What stands unread counts with the first, by Little's law on the wait that arrivals
     /// report, since reading takes the cores that runs need. It never brings on discard: to read only in
     /// order to refuse would serve nobody.
-    fn line(&self, gate: usize) -> f64 {
+    pub(crate) fn line(&self, gate: usize) -> f64 {
         if gate == 0 {
             let held = self.held.len() as f64;
             // Waits to be read of up to a third of the aim are an ordinary bunch.
--- a/src/rules/rank.rs
+++ b/src/rules/rank.rs
@@ -3,15 +3,15 @@
 use super::*;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct Rank {
-    pub(super) tenants: Vec<VecDeque<Micros>>,
-    pub(super) retries: f64,
+pub(crate) struct Rank {
+    pub(crate) tenants: Vec<VecDeque<Micros>>,
+    pub(crate) retries: f64,
 }
 
 impl Rank {
     /// Rank with what the class band does not know: tenants over quota are worth little, and a marked
     /// retry has less of its time left than a first try.
-    pub(super) fn worth(&mut self, s: &Settings, now: Micros, r: &Request, span: f64) -> f64 {
+    pub(crate) fn worth(&mut self, s: &Settings, now: Micros, r: &Request, span: f64) -> f64 {
         let retry = if r.retry { 1.0 } else { 0.0 };
         self.retries += 0.5 * SMOOTH * (retry - self.retries);
         let mut worth = r.rank * (1.0 - 0.1 * retry);
--- a/src/rules/view.rs
+++ b/src/view.rs
@@ -1,6 +1,7 @@
-//! What can be read of a controller; nothing here decides.
+//! What can be read of a controller by those who show it. Nothing here decides, so it is no part of `policy`.
 
-use super::*;
+use crate::rules::{Controller, Entry, Gate};
+use crate::{Cause, LineView, Mode, RequestId, Stage, Standing, View};
 
 impl Controller {
     /// The mode that the server is in.
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use pipitlever::*;
+use std::collections::VecDeque;
 
 /// i44e1ba: weak servers left requests unread for seconds while their line to start read low, so callers
 /// were told nothing. What stands unread counts: the level rises.
@@ -47,3 +48,101 @@
         id += 1;
     }
 }
+
+/// A server of the second deployment with all cores taken, and then nothing ends: what runs there, what is held.
+fn standing_still() -> (Controller, Micros, Vec<Action>) {
+    let free = Class { aim: 1_000_000, deadline: 4_000_000, ..Class::default() };
+    let classes = vec![free.clone(), Class { idempotency: Idempotency::Keyed, window: 5_000_000, ..free }];
+    let (below, halt, level) = (Below::Nothing, HaltMode::Abort, LevelKind::Threshold);
+    let s = Settings { classes, cores: 4.0, max_backoff: 1_000_000, below, halt, level, ..settings() };
+    let mut c = Controller::new(s, 1);
+    let (mut now, mut id) = (0, 1);
+    let mut running = VecDeque::new();
+    for i in 0..80 {
+        now = i * 50_000;
+        step(&mut c, now, &[Event::Arrived(request(id, 0)), ticks(0)]);
+        running.push_back((id, now));
+        id += 1;
+        if running.len() == 4 {
+            let (id, since) = running.pop_front().unwrap();
+            step(&mut c, now, &[done(id, now - since)]);
+        }
+    }
+    // The last ones run, one of them keyed, and one more is held behind them.
+    let mut all = Vec::new();
+    for class in [1, 0] {
+        all.extend(step(&mut c, now, &[Event::Arrived(request(id, class))]));
+        id += 1;
+    }
+    assert!(c.view().running >= 4 && c.view().held == 1, "{:?}", c.view());
+    let stopped = now;
+    while now < stopped + 900_000 {
+        now += 20_000;
+        all.extend(step(&mut c, now, &[ticks(0)]));
+    }
+    (c, now, all)
+}
+
+/// Hung servers of the second deployment took a line full of requests each aim, and lost them all: 15 to 20 requests a second
+/// that others could have served. What waits is let go while it still has time, and callers are sent away for a while.
+#[test]
+fn cores_that_stand_still_let_go_of_all_that_others_can_serve() {
+    let (mut c, now, all) = standing_still();
+    let refused: Vec<&Action> = all.iter().filter(|a| matches!(a, Action::Refuse { .. })).collect();
+    // The held one and the reads that ran; the keyed run may end yet, and its repeats want its outcome.
+    assert_eq!(refused.len(), 4, "{all:?}");
+    assert!(refused.iter().all(|a| matches!(a, Action::Refuse { no_retry: false, .. })), "{refused:?}");
+    assert!(all.contains(&Action::Level(1.0)), "callers that heed it send nothing: {all:?}");
+    assert_eq!((c.view().held, c.standing(81).is_some()), (0, true));
+    let out = step(&mut c, now, &[Event::Arrived(request(900, 0))]);
+    let Some(Action::Refuse { backoff, no_retry: false, .. }) = out.first() else { panic!("{out:?}") };
+    assert!((500_000..=1_000_000).contains(backoff), "spread, so that not all are back at once: {backoff}");
+}
+
+/// Once a run ends the server takes work again at once, at the rate that it had before: the time that runs stood says nothing of
+/// how long they take.
+#[test]
+fn cores_that_go_on_are_as_quick_as_before() {
+    let (mut c, now, _) = standing_still();
+    let before = c.view().rate;
+    let out = step(&mut c, now, &[done(81, 950_000)]);
+    assert!(out.is_empty(), "{out:?}");
+    let out = step(&mut c, now, &[Event::Arrived(request(900, 0))]);
+    assert!(out.contains(&Action::Run(900)), "{out:?}");
+    assert!(c.view().rate > 0.8 * before, "{} {before}", c.view().rate);
+}
+
+/// Where a run waits for a disk or stands at a call the cores have room, and a few slow runs are no standstill.
+#[test]
+fn few_slow_runs_are_no_standstill() {
+    let s = Settings { below: Below::Nothing, cores: 4.0, halt: HaltMode::Abort, ..settings() };
+    let mut c = Controller::new(s, 1);
+    for id in 1..4 {
+        step(&mut c, 0, &[Event::Arrived(request(id, 0)), ticks(0)]);
+    }
+    let mut out = Vec::new();
+    for i in 1..40 {
+        out.extend(step(&mut c, i * 20_000, &[ticks(0)]));
+    }
+    assert!(!out.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Halt(_))), "{out:?}");
+    assert!(step(&mut c, 800_000, &[Event::Arrived(request(9, 0))]).contains(&Action::Run(9)));
+}
+
+/// Runs that fail at once are no quick runs: they had the server look fast, its line long, and drew more of the same.
+#[test]
+fn runs_that_fail_at_once_do_not_make_a_server_look_quick() {
+    let s = Settings { below: Below::Nothing, cores: 4.0, ..settings() };
+    let mut c = Controller::new(s, 1);
+    let mut id = 0;
+    let mut play = |c: &mut Controller, outcome, took| {
+        for _ in 0..40 {
+            id += 1;
+            step(c, id as Micros * 100_000, &[Event::Arrived(request(id, 0)), ticks(0)]);
+            step(c, id as Micros * 100_000 + took, &[Event::Finished { id, took, outcome }]);
+        }
+        c.view().rate
+    };
+    let healthy = play(&mut c, Outcome::Done, 90_000);
+    let failing = play(&mut c, Outcome::Error, 1_000);
+    assert!(failing < 0.1 * healthy, "{failing} {healthy}");
+}
