--- a/capture/src/record.rs
+++ b/capture/src/record.rs
@@ -82,6 +82,8 @@
     StoreFull,
     /// The node, as another process of it may have run the key.
     Elsewhere,
+    /// The node, as its version of the settings may be stale.
+    Floor,
 }
 
 /// One thing that a capture says. The loop borrows what it writes; whoever reads owns it, as a [`Record`].
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod suspicion;
 pub mod sync;
 
-pub use node::Fleet;
+pub use node::{Fleet, Heard};
 
 /// A reading of a clock, or a span of it, in microseconds.
 pub type Micros = i64;
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -71,6 +71,8 @@
     },
     /// There is news, no more.
     News,
+    /// Something of a part that stands on the view.
+    Said(Vec<u8>),
 }
 
 /// One datagram.
@@ -84,8 +86,15 @@
     pub body: Body,
     /// News that travels with it.
     pub news: Vec<Update>,
+    /// What a part that stands on the view has travel with everything. Behind the rest, and only if there is any: without it a
+    /// datagram is what it was before there was such a part.
+    #[serde(skip)]
+    pub hint: Vec<u8>,
 }
 
+/// The longest hint, in bytes.
+pub const MOST_HINT: usize = 512;
+
 /// What is said on a connection, by turns, until both views are equal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
@@ -175,12 +184,21 @@
 impl Packet {
     /// As a datagram of this fleet.
     pub fn write(&self, fleet: &str) -> Vec<u8> {
-        sealed(fleet, self)
+        match self.hint.is_empty() {
+            true => sealed(fleet, self),
+            false => sealed(fleet, &(self, &self.hint)),
+        }
     }
 
     /// A datagram of this fleet.
     pub fn read(fleet: &str, bytes: &[u8]) -> Result<Packet, Broken> {
-        let packet: Packet = opened(fleet, bytes)?;
+        let packet = opened::<Packet>(fleet, bytes).or_else(|broken| match broken {
+            Broken::Malformed => {
+                let (packet, hint): (Packet, Vec<u8>) = opened(fleet, bytes)?;
+                (hint.len() <= MOST_HINT).then_some(Packet { hint, ..packet }).ok_or(Broken::Malformed)
+            }
+            other => Err(other),
+        })?;
         let names = match &packet.body {
             Body::Ping { to, .. } => to.as_ref(),
             Body::Ask { name, .. } => Some(name),
--- a/fleet/src/node/heard.rs
+++ b/fleet/src/node/heard.rs
@@ -21,7 +21,7 @@
     pub fn datagram(&mut self, now: Micros, bytes: &[u8]) -> Result<(), Broken> {
         let packet = Packet::read(&self.fleet, bytes)?;
         self.present(now);
-        let Packet { from, digest, body, news } = packet;
+        let Packet { from, digest, body, news, hint } = packet;
         if from.name == self.name {
             if from.record.token == self.own.record.token {
                 // Its own word, by way of a seed that is this node, or sent again by somebody.
@@ -34,12 +34,27 @@
         for update in &news {
             self.learn(now, update, &from.name);
         }
+        self.overhear(&from.name, &body, hint);
         self.answer(now, &from, body, before);
         self.compare(now, &from, digest);
         self.watch();
         Ok(())
     }
 
+    /// Keeps what is not about the view, where a part wants it.
+    fn overhear(&mut self, from: &str, body: &Body, hint: Vec<u8>) {
+        if self.hint.is_none() || from == self.name {
+            return;
+        }
+        let said = if let Body::Said(said) = body { Some(Heard::Said(said.clone())) } else { None };
+        let hint = (!hint.is_empty()).then_some(Heard::Hint(hint));
+        for heard in hint.into_iter().chain(said) {
+            if self.heard.len() < MOST_HEARD {
+                self.heard.push_back((from.to_owned(), heard));
+            }
+        }
+    }
+
     pub(super) fn answer(&mut self, now: Micros, from: &Update, body: Body, before: Option<State>) {
         let to = from.record.details.address;
         let held = self.members.get(&from.name).map(|m| m.record.state);
@@ -86,7 +101,7 @@
                 }
             }
             Body::News if accused => self.send(now, to, Body::News, first),
-            Body::News => {}
+            Body::News | Body::Said(_) => {}
         }
     }
 
--- a/fleet/src/node/mod.rs
+++ b/fleet/src/node/mod.rs
@@ -50,6 +50,18 @@
 /// What travels in one datagram.
 type Datagram = (SocketAddr, Vec<u8>);
 
+/// What a member said that is not about the view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// What travelled with something else.
+    Hint(Vec<u8>),
+    /// What it said to this node.
+    Said(Vec<u8>),
+}
+
+/// What was heard and nobody has fetched, at most.
+const MOST_HEARD: usize = 1024;
+
 /// A node's view of the fleet, and all that keeps it.
 pub struct Fleet {
     rules: Rules,
@@ -89,6 +101,9 @@
     expected: Option<Micros>,
     there: Micros,
     out: Vec<Datagram>,
+    /// What travels with everything that is sent, where a part that stands on the view wants that; and what it is to hear.
+    hint: Option<Vec<u8>>,
+    heard: VecDeque<(String, Heard)>,
     events: VecDeque<Event>,
     lost_events: u64,
 }
@@ -133,6 +148,8 @@
             expected: None,
             there: now,
             out: Vec::new(),
+            hint: None,
+            heard: VecDeque::new(),
             events: VecDeque::new(),
             lost_events: 0,
             rules,
@@ -270,6 +287,32 @@
         }
     }
 
+    /// A part stands on the view: this travels with everything from now on, and what is not about the view is kept for it.
+    pub fn set_hint(&mut self, hint: Vec<u8>) {
+        self.hint = Some(hint);
+    }
+
+    /// What members have said to that part.
+    pub fn take_heard(&mut self) -> Option<(String, Heard)> {
+        self.heard.pop_front()
+    }
+
+    /// Says something of that part to a member; whether it is known.
+    pub fn tell(&mut self, to: &str, said: Vec<u8>) -> bool {
+        let Some(address) = self.members.get(to).map(|m| m.record.details.address) else { return false };
+        let (from, digest, hint) = (self.own(), self.digest(), self.hint.clone().unwrap_or_default());
+        let packet = Packet { from, digest, body: Body::Said(said), news: Vec::new(), hint };
+        self.out.push((address, packet.write(&self.fleet)));
+        true
+    }
+
+    /// Has what travels with everything go to some members at once.
+    pub fn spread_hint(&mut self, now: Micros) {
+        for name in self.ring.some(Rules::HELPERS, &[], &mut self.rng) {
+            self.news_to(now, &name);
+        }
+    }
+
     /// When it wants to be woken. To be asked after all that it is told: it holds its driver to the last answer, to know when it was
     /// not there.
     pub fn next_wake(&mut self) -> Micros {
@@ -391,7 +434,9 @@
 
     /// Sends something with as much news as fits; first that of one member, if there is one.
     fn send(&mut self, now: Micros, to: SocketAddr, body: Body, first: Option<&str>) {
-        let mut packet = Packet { from: self.own(), digest: self.digest(), body, news: Vec::new() };
+        let mut packet =
+            Packet { from: self.own(), digest: self.digest(), body, news: Vec::new(), hint: Vec::new() };
+        packet.hint = self.hint.clone().unwrap_or_default();
         let mut room = self.rules.most_datagram.saturating_sub(packet.write(&self.fleet).len() + OVERHEAD);
         if let Some(update) = first.and_then(|name| self.update(now, name)) {
             room = room.saturating_sub(length(&update));
--- a/fleet/tests/join.rs
+++ b/fleet/tests/join.rs
@@ -57,7 +57,7 @@
     fn a_datagram_is_read_as_it_was_or_not_at_all(record in record(), at in any::<prop::sample::Index>(), bit in 0u8..8) {
         let ping = Body::Ping { seq: 5, to: Some("n3".into()) };
         let from = update(record.clone());
-        let packet = Packet { from, digest: 9, body: ping, news: vec![update(record)] };
+        let packet = Packet { from, digest: 9, body: ping, news: vec![update(record)], hint: Vec::new() };
         let bytes = packet.write("rota");
         prop_assert_eq!(Packet::read("rota", &bytes), Ok(packet));
         prop_assert_eq!(Packet::read("other", &bytes), Err(Broken::Fleet("rota".into())));
@@ -102,7 +102,13 @@
 #[test]
 fn another_version_is_named_and_a_record_out_of_bounds_is_not_held() {
     let record = Own::new(1, ([127, 0, 0, 1], 1).into(), "").record;
-    let packet = |record| Packet { from: update(record), digest: 0, body: Body::News, news: Vec::new() };
+    let packet = |record| Packet {
+        from: update(record),
+        digest: 0,
+        body: Body::News,
+        news: Vec::new(),
+        hint: Vec::new(),
+    };
     let mut newer = packet(record.clone()).write("rota");
     newer[4] += 1;
     assert_eq!(Packet::read("rota", &newer), Err(Broken::Version(2)));
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -284,6 +284,8 @@
     healthy: bool,
     /// Operators want no new clients: health checks hear bad.
     standby: bool,
+    /// Nothing is admitted or started from then on, until it is told otherwise: its version of the settings may be stale.
+    until: Micros,
     idle: Micros,
     gauges: (Micros, Gauges),
     /// Where all that the module is told and says is kept, if it is.
@@ -338,6 +340,7 @@
             level: None,
             healthy: false,
             standby: false,
+            until: Micros::MAX,
             gauges: (Micros::MIN / 2, Gauges::default()),
             tap: None,
             marked: false,
@@ -442,7 +445,20 @@
 
     /// What health checks hear.
     pub fn healthy(&self) -> bool {
-        self.healthy && !self.standby
+        self.healthy && !self.standby && !self.barred(self.now)
+    }
+
+    /// What it acts on is known not to be stale until then, or not known at all; whether it may do more or less than before. The time
+    /// is looked at with each request: a process that was stopped past it finds requests in its sockets.
+    pub fn allow(&mut self, until: Option<Micros>) -> bool {
+        let until = until.unwrap_or(Micros::MIN);
+        let before = std::mem::replace(&mut self.until, until);
+        (before == Micros::MIN) != (until == Micros::MIN)
+    }
+
+    /// Whether nothing may be admitted or started.
+    pub fn barred(&self, now: Micros) -> bool {
+        now >= self.until
     }
 
     /// Health checks hear bad from now on, or again what the module says; whether that is new. All else goes on.
@@ -529,10 +545,12 @@
             return;
         }
         let store = if new_key { self.store_refuses(now) } else { None };
-        if self.module.is_none() || full || no_place || store.is_some() {
+        let barred = self.barred(now);
+        if self.module.is_none() || barred || full || no_place || store.is_some() {
             // Nothing may be forgotten to make room, so new work has to wait. Never offered, never run.
             let (by, cooldown) = match (&self.module, store) {
                 (None, _) => (By::NotUp, FULL_COOLDOWN),
+                (Some(_), _) if barred => (By::Floor, FULL_COOLDOWN),
                 (Some(_), _) if full => (By::Full, FULL_COOLDOWN),
                 (Some(_), _) if no_place => (By::KeysFull, FULL_COOLDOWN),
                 (Some(_), store) => store.expect("nothing else is left"),
@@ -883,6 +901,9 @@
     }
 
     fn run(&mut self, id: RequestId) {
+        if self.barred(self.now) {
+            return self.unrun(id);
+        }
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         let keyed = self.settings.classes[attempt.incoming.class].idempotency == Idempotency::Keyed;
         if keyed {
@@ -903,6 +924,19 @@
         }
     }
 
+    /// What was held under a version that may be stale by now is not started: it never ran, and its key is free again.
+    fn unrun(&mut self, id: RequestId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let key = attempt.incoming.key.clone();
+        let answer = Answer::Refused { cooldown: self.keep_away(FULL_COOLDOWN), nowhere: false };
+        self.answer(id, answer.clone(), By::Floor);
+        self.close(id);
+        self.pending.push_back(Pending::Event(Event::Finished { id, took: 0, outcome: Outcome::Moot }));
+        if let Some(key) = key {
+            self.settle(&key, id, None, answer);
+        }
+    }
+
     /// The run goes out.
     fn begin(&mut self, id: RequestId) {
         let Some(attempt) = self.attempts.get(&id) else { return };
--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -29,6 +29,12 @@
                        the fleet as the node sees it that has this door (HOST:PORT); again at each change
   pipitlever fleet compare --at DOOR --at DOOR...
                        where the views of these nodes differ, and 1 if they do
+  pipitlever fleet publish FILE --why WHY --at DOOR
+                       have the fleet decide about a new version of the settings: JSON with \"settings\" as the platform
+                       gives them, or \"operator\" with [uwsgi] and [[pool]] as text, at an elector's door
+  pipitlever fleet close|accept-floor N --at DOOR
+                       no node acts on a version below N; or: this node may act on N and what follows, where its
+                       electors are lost
   pipitlever version   print the version
   pipitlever help      print this
 
@@ -45,7 +51,7 @@
     let mut verb = None;
     let mut operator = None;
     let mut files = Vec::new();
-    let (mut json, mut watch, mut doors) = (false, false, Vec::new());
+    let (mut json, mut watch, mut doors, mut why) = (false, false, Vec::new(), None);
     let mut config = std::env::var("EDGE_CONFIG").ok();
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
@@ -64,6 +70,10 @@
             Long("version") | Short('V') => verb = Some("version".to_owned()),
             Value(word) if verb.is_none() => verb = Some(word.string().map_err(|e| e.to_string())?),
             Long("json") if matches!(verb.as_deref(), Some("store" | "fleet")) => json = true,
+            Long("why") if verb.as_deref() == Some("fleet") => {
+                let value = parser.value().map_err(|e| e.to_string())?;
+                why = Some(value.string().map_err(|e| e.to_string())?);
+            }
             Long("watch") if verb.as_deref() == Some("fleet") => watch = true,
             Long("at") if verb.as_deref() == Some("fleet") => {
                 let value = parser.value().map_err(|e| e.to_string())?;
@@ -75,11 +85,11 @@
             other => return Err(format!("{}; see 'pipitlever help'", other.unexpected())),
         }
     }
-    let read = move || Config::load(config.as_deref(), operator.as_deref());
+    let read = move |version: Option<&[u8]>| Config::load(config.as_deref(), operator.as_deref(), version);
     match verb.as_deref().unwrap_or("serve") {
-        "serve" => serve(read()?, read).map(|()| 0),
+        "serve" => serve(read(None)?, read).map(|()| 0),
         "check" => {
-            let c = read()?;
+            let c = read(None)?;
             println!("name={} listen={} classes={}", c.name, c.listen, c.tuning.classes.join(","));
             println!("sockets={} memory_mb={}", c.sockets, c.memory_mb);
             println!("control={}", c.control.map_or("off".into(), |at| at.to_string()));
@@ -128,7 +138,7 @@
             Ok(if import.notes.is_empty() { 0 } else { PARTLY })
         }
         "pools" => {
-            explain::pools(&read()?.tuning.uwsgi).iter().for_each(|line| println!("{line}"));
+            explain::pools(&read(None)?.tuning.uwsgi).iter().for_each(|line| println!("{line}"));
             Ok(0)
         }
         "store" => match &files[..] {
@@ -138,9 +148,13 @@
             _ => Err("store: say check, list or compact, and a folder".into()),
         },
         "fleet" => match (&files[..], &doors[..]) {
+            ([task, file], [door]) if task == "publish" => doors::publish(door, file, why.as_deref()),
+            ([task, number], [door]) if task == "close" || task == "accept-floor" => {
+                doors::order(door, task, number)
+            }
             ([task], [door]) if task == "status" => doors::status(door, json, watch),
             ([task], [_, _, ..]) if task == "compare" => doors::compare(&doors),
-            _ => Err("fleet: say status and --at DOOR, or compare and --at for two doors or more".into()),
+            _ => Err("fleet: say publish FILE --why WHY --at DOOR, close N or accept-floor N, status and --at DOOR, or compare and --at for two doors or more".into()),
         },
         "version" => {
             println!("pipitlever {}", env!("CARGO_PKG_VERSION"));
--- a/node/src/life/config.rs
+++ b/node/src/life/config.rs
@@ -1,6 +1,7 @@
 //! The node's configuration, read at the start, and for its parties' addresses on SIGHUP.
 
 use super::operator::{Capture, Operator, Store};
+use super::versions::Content;
 use crate::net::fleet;
 use crate::net::hub::{Parties, Tuning};
 use crate::net::routes::{Backend, Uwsgi};
@@ -131,13 +132,19 @@
     }
 
     /// Reads both files, as they are named on the command line.
-    pub fn load(path: Option<&str>, operator: Option<&str>) -> Result<Config, String> {
+    pub fn load(
+        path: Option<&str>,
+        operator: Option<&str>,
+        version: Option<&[u8]>,
+    ) -> Result<Config, String> {
+        let version = version.map(Content::read).transpose()?.unwrap_or_default();
         let path = path.ok_or("no configuration: give --config FILE or set EDGE_CONFIG")?;
         let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-        let mut config = Config::read(&text, |name| std::env::var(name).ok())?;
+        let mut config = Config::read(&version.over_configuration(&text)?, |name| std::env::var(name).ok())?;
         if let Some(path) = operator {
             let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-            let file = Operator::read(&text, &config.tuning.classes).map_err(|e| format!("{path}: {e}"))?;
+            let file = Operator::read(&version.over_operator(&text)?, &config.tuning.classes)
+                .map_err(|e| format!("{path}: {e}"))?;
             config.parties.pools = file.uwsgi.pools();
             (config.tuning.uwsgi, config.capture, config.store) = (file.uwsgi, file.capture, file.store);
             config.fleet = file.fleet;
--- a/node/src/life/doors.rs
+++ b/node/src/life/doors.rs
@@ -30,6 +30,30 @@
     pub digest: String,
     /// The members.
     pub members: Vec<Member>,
+    /// How the node stands to the versions of the fleet's settings, if these are decided.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub versions: Option<Versions>,
+}
+
+/// How a node stands to the versions of the fleet's settings.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Versions {
+    /// The one that it acts on.
+    pub acting: u64,
+    /// The newest that it knows was decided.
+    pub decided: u64,
+    /// It acts on none below this one.
+    pub floor: u64,
+    /// Enough electors were heard since its start to know that.
+    pub floor_known: bool,
+    /// It admits and starts requests.
+    pub may_act: bool,
+    /// Why it does not.
+    pub why: String,
+    /// What is left of its lease.
+    pub lease_ms: Option<i64>,
+    /// What it can't act on, and why.
+    pub unfit: Option<String>,
 }
 
 /// One of them.
@@ -44,32 +68,84 @@
     since_ms: u64,
     told_by: String,
     conflict: Vec<String>,
+    #[serde(default)]
+    acting: Option<u64>,
 }
 
 /// Asks a door for its node's view.
 pub fn ask(door: &str) -> Result<View, String> {
+    let wrong = |what: String| format!("{door}: {what}");
+    match call(door, "GET", "/fleet", b"")? {
+        (200, body) => serde_json::from_slice(&body).map_err(|e| wrong(format!("not understood: {e}"))),
+        (404, _) => Err(wrong("this node is in no fleet: its operator's file has no [fleet]".into())),
+        (code, _) => Err(wrong(format!("answered {code}"))),
+    }
+}
+
+/// Publishes a version on top of the newest that the door's node knows, and waits until the fleet has decided.
+pub fn publish(door: &str, file: &str, why: Option<&str>) -> Result<u8, String> {
+    let why = why.ok_or("publish: say --why, in a sentence: it is written down with the version")?;
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+    let content: serde_json::Value = serde_json::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
+    // Whole or not at all, and here rather than at each node.
+    super::versions::Content::read(text.as_bytes()).map_err(|e| format!("{file}: {e}"))?;
+    let versions = || ask(door)?.versions.ok_or(format!("{door}: its fleet decides no versions"));
+    let base = versions()?.decided;
+    let body = serde_json::json!({"base": base, "why": why, "content": content}).to_string();
+    let (code, said) = call(door, "POST", "/fleet/publish", body.as_bytes())?;
+    let said = String::from_utf8_lossy(&said).trim_end().to_owned();
+    if code != 200 {
+        return Err(format!("{door}: {said}"));
+    }
+    let until = Instant::now() + DECIDED;
+    while versions()?.decided <= base {
+        if Instant::now() > until {
+            return Err(format!(
+                "{door}: {said}, and no majority of the electors was heard in time: ask again"
+            ));
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    println!("decided: {}", versions()?.decided);
+    Ok(0)
+}
+
+/// Has a door's node do something about a version.
+pub fn order(door: &str, task: &str, number: &str) -> Result<u8, String> {
+    let number: u64 = number.parse().map_err(|_| format!("{task}: no number of a version: {number}"))?;
+    let (code, said) = call(door, "POST", &format!("/fleet/{task}/{number}"), b"")?;
+    let said = String::from_utf8_lossy(&said).trim_end().to_owned();
+    match code {
+        200 => println!("{said}"),
+        404 => return Err(format!("{door}: its fleet decides no versions")),
+        _ => return Err(format!("{door}: {said}")),
+    }
+    Ok(0)
+}
+
+/// A version is decided within this, or it is said that it is not.
+const DECIDED: Duration = Duration::from_secs(12);
+
+/// One call at a door: its code and body.
+fn call(door: &str, method: &str, path: &str, content: &[u8]) -> Result<(u16, Vec<u8>), String> {
     let wrong = |what: String| format!("{door}: {what}");
     let address = door.to_socket_addrs().ok().and_then(|mut all| all.next());
     let address: SocketAddr = address.ok_or_else(|| wrong("no address: say HOST:PORT".into()))?;
     let failed = |e: std::io::Error| wrong(e.to_string());
     let mut stream = TcpStream::connect_timeout(&address, PATIENCE).map_err(failed)?;
     stream.set_read_timeout(Some(PATIENCE)).map_err(failed)?;
-    let call = format!("GET /fleet HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    stream.write_all(call.as_bytes()).map_err(failed)?;
+    let length = content.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n"
+    );
+    stream.write_all(&[head.as_bytes(), content].concat()).map_err(failed)?;
     let mut bytes = Vec::new();
     stream.take(MOST_ANSWER).read_to_end(&mut bytes).map_err(failed)?;
     let mut fields = [httparse::EMPTY_HEADER; 32];
     let mut response = httparse::Response::new(&mut fields);
-    let head = match response.parse(&bytes) {
-        Ok(httparse::Status::Complete(head)) => head,
-        _ => return Err(wrong("no door: it does not answer in HTTP".into())),
-    };
-    match response.code {
-        Some(200) => {
-            serde_json::from_slice(&bytes[head..]).map_err(|e| wrong(format!("not understood: {e}")))
-        }
-        Some(404) => Err(wrong("this node is in no fleet: its operator's file has no [fleet]".into())),
-        code => Err(wrong(format!("answered {}", code.unwrap_or(0)))),
+    match response.parse(&bytes) {
+        Ok(httparse::Status::Complete(head)) => Ok((response.code.unwrap_or(0), bytes[head..].to_vec())),
+        _ => Err(wrong("no door: it does not answer in HTTP".into())),
     }
 }
 
@@ -202,8 +278,10 @@
             since_ms: 150_000,
             told_by: "n1".into(),
             conflict: Vec::new(),
+            acting: None,
         };
         View {
+            versions: None,
             itself: itself.into(),
             fleet: "rota".into(),
             settled: true,
--- a/node/src/life/fleet.rs
+++ b/node/src/life/fleet.rs
@@ -1,6 +1,7 @@
 //! `[fleet]` of the operator's file.
 
 use super::operator::{line, within};
+use super::versions::VersionsSection;
 use crate::net::fleet::Settings;
 use pipitlever_fleet::record::MOST_NAME;
 use pipitlever_fleet::rules::Rules;
@@ -26,6 +27,7 @@
     forget_s: Option<Spanned<u64>>,
     #[serde(default)]
     trusted_network: bool,
+    versions: Option<VersionsSection>,
 }
 
 impl FleetSection {
@@ -78,6 +80,7 @@
             seeds: self.seeds.into_iter().map(Spanned::into_inner).collect(),
             zone: self.zone.map(|zone| name("zone", &zone)).transpose()?.unwrap_or_default(),
             rules,
+            versions: self.versions.map(|section| section.read(text)).transpose()?,
         })
     }
 }
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -13,3 +13,4 @@
 pub mod signals;
 pub mod store;
 mod stored;
+mod versions;
--- a/node/src/life/reload.rs
+++ b/node/src/life/reload.rs
@@ -5,8 +5,14 @@
 use super::operator::Store;
 use crate::log::log;
 use crate::net::hub::Shared;
+use crate::net::versions::Act;
 use serde_json::Value;
 
+/// Whether the fleet decides what this node acts on.
+fn versioned(hub: &Shared) -> bool {
+    hub.borrow().callers.fleet.as_ref().is_some_and(|part| part.versions.is_some())
+}
+
 /// What of a configuration the next one is held against, and how it is read.
 pub struct Reload<R> {
     read: R,
@@ -16,7 +22,7 @@
     store: Option<Store>,
 }
 
-impl<R: Fn() -> Result<Config, String>> Reload<R> {
+impl<R: Fn(Option<&[u8]>) -> Result<Config, String>> Reload<R> {
     /// Follows the configuration that the node starts with.
     pub fn new(read: R, config: &Config) -> Reload<R> {
         Reload { read, shape: config.shape.clone(), store: config.store.clone() }
@@ -25,7 +31,14 @@
     /// Reads the files, and takes over settings, classes, addresses of the other parties and the capture. With files
     /// that can't be used the node goes on as it is, in every respect.
     pub fn reload(&mut self, hub: &Shared, capturing: &mut Capturing) {
-        match self.take(hub, capturing) {
+        let taken = match versioned(hub) {
+            // Each node's own file may be any day's: what the fleet decided would be gone with it.
+            true => {
+                Err("the fleet decides versions: pipitlever fleet publish FILE --why WHY --at DOOR".into())
+            }
+            false => (self.read)(None).and_then(|new| self.take(new, hub, capturing)),
+        };
+        match taken {
             Ok(()) => {
                 hub.borrow_mut().files.accepted += 1;
                 log("reload: done");
@@ -37,8 +50,26 @@
         }
     }
 
-    fn take(&mut self, hub: &Shared, capturing: &mut Capturing) -> Result<(), String> {
-        let new = (self.read)()?;
+    /// Acts on a version that the fleet has decided: as a whole, once it is on the disk that no process of this node goes back
+    /// behind it. One that can't be taken is turned down before that, and the node goes on under the one before.
+    pub async fn act(&mut self, hub: &Shared, capturing: &mut Capturing, (number, content): Act) {
+        let Some(part) = hub.borrow().callers.fleet.clone() else { return };
+        let fits = (self.read)(Some(&content)).and_then(|new| self.fits(&new, hub).map(|()| new));
+        let taken = match fits {
+            Ok(new) => match part.write_down(number, &content).await {
+                Ok(()) => self.take(new, hub, capturing),
+                Err(why) => Err(format!("it can't be written down: {why}")),
+            },
+            Err(why) => Err(why),
+        };
+        if let Some(versions) = &part.versions {
+            versions.acted(number, taken);
+        }
+        part.give();
+    }
+
+    /// Whether another configuration can be taken.
+    fn fits(&self, new: &Config, hub: &Shared) -> Result<(), String> {
         new.follows(&self.shape)?;
         if new.parties.processor.is_some() != hub.borrow().link.address.is_some() {
             return Err("a processor can be neither added nor removed while the node runs".into());
@@ -48,6 +79,11 @@
                 "pools can be neither added nor removed while the node runs, their members can".into()
             );
         }
+        hub.borrow().fits(&new.tuning)
+    }
+
+    fn take(&mut self, new: Config, hub: &Shared, capturing: &mut Capturing) -> Result<(), String> {
+        self.fits(&new, hub)?;
         // The last that may fail, and nothing has changed before it.
         let changed = hub.borrow_mut().retune(new.tuning)?;
         hub.borrow_mut().moved(new.parties);
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -9,6 +9,7 @@
 use crate::net::handover::{self, Offer, Trouble};
 use crate::net::hub::{Hub, Limits, Shared};
 use crate::net::places::Front;
+use crate::net::versions::Act;
 use crate::net::{ahead, by, callers, control, fleet, ledger, membership, processor, timers, workers};
 use async_executor::LocalExecutor;
 use futures_lite::future;
@@ -37,8 +38,19 @@
 /// A process on its way out listens until the grace of its drain is over; its address is waited for so long, in milliseconds.
 const LEAVING_MS: u64 = 5000;
 
+/// What the node is to do.
+enum Wanted {
+    /// What a signal asks for.
+    Signal(Signal),
+    /// To act on a version that the fleet has decided.
+    Act(Act),
+}
+
 /// Runs one node to its end. `read` reads the configuration anew.
-pub fn serve(config: Config, read: impl Fn() -> Result<Config, String> + 'static) -> Result<(), String> {
+pub fn serve(
+    config: Config,
+    read: impl Fn(Option<&[u8]>) -> Result<Config, String> + 'static,
+) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
     // A task like the others: polled at each wake of any of them, it asked the signals' socket each time.
     let node = executor.spawn(run(executor.clone(), config, read));
@@ -48,8 +60,9 @@
 async fn run(
     executor: Rc<LocalExecutor<'static>>,
     config: Config,
-    read: impl Fn() -> Result<Config, String>,
+    read: impl Fn(Option<&[u8]>) -> Result<Config, String>,
 ) -> Result<(), String> {
+    let (config, saved) = super::versions::begin(config, &read)?;
     let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     let mut listeners = vec![(Front::Gateway, config.listen)];
     listeners.extend(config.tuning.uwsgi.listen.map(|at| (Front::Uwsgi, at)));
@@ -135,13 +148,29 @@
         (Some(f), _) => Some(bind_fleet(f.bind).await?),
         (None, _) => None,
     };
+    let (acts, to_act) = async_channel::unbounded();
+    if config.fleet.as_ref().is_some_and(|f| f.versions.is_some()) {
+        // Until it is known that the disk's version is not one that this node has left.
+        hub.borrow_mut().core.allow(None);
+    }
     let member = RefCell::new(config.fleet.zip(fleet_sockets));
+    let versioned = RefCell::new(Some(fleet::Versioned { saved, acts: Some(acts) }));
     let join = {
         let (executor, hub, name) = (executor.clone(), hub.clone(), name.clone());
         // Once this process serves: until then the one before it is the member.
         move |passed: Option<Vec<u8>>| {
             let Some((settings, sockets)) = member.take() else { return };
-            match fleet::Part::begin(executor.clone(), hub.clone(), &name, settings, sockets, passed) {
+            let versioned = versioned.take().unwrap_or_default();
+            let begun = fleet::Part::begin(
+                executor.clone(),
+                hub.clone(),
+                &name,
+                settings,
+                sockets,
+                passed,
+                versioned,
+            );
+            match begun {
                 Ok(part) => hub.borrow_mut().callers.fleet = Some(part),
                 // Its callers are served all the same.
                 Err(why) => log(&format!("fleet: off: {why}")),
@@ -177,11 +206,19 @@
     }
 
     loop {
-        let signal = future::or(async { Ok(signals.next().await) }, async { Err(trouble.wait().await) });
-        match signal.await? {
-            Signal::Count => print_counters(&hub),
-            Signal::Reload => reload.reload(&hub, &mut capturing),
-            Signal::Leave => break,
+        let signal = async { Ok(Wanted::Signal(signals.next().await)) };
+        let signal = future::or(signal, async { Err(trouble.wait().await) });
+        let act = async {
+            match to_act.recv().await {
+                Ok(act) => Ok(Wanted::Act(act)),
+                Err(_) => future::pending().await,
+            }
+        };
+        match future::or(signal, act).await? {
+            Wanted::Act(act) => reload.act(&hub, &mut capturing, act).await,
+            Wanted::Signal(Signal::Count) => print_counters(&hub),
+            Wanted::Signal(Signal::Reload) => reload.reload(&hub, &mut capturing),
+            Wanted::Signal(Signal::Leave) => break,
         }
     }
     let superseded = hub.borrow_mut().predecessor.leave();
--- a/node/src/net/control.rs
+++ b/node/src/net/control.rs
@@ -10,7 +10,7 @@
 use pipitlever_reactor::{Async, Timer};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A call is whole by then, in milliseconds.
 const WHOLE_MS: u64 = 10_000;
@@ -54,7 +54,7 @@
     let mut out = Vec::new();
     match asked {
         None => return,
-        Some(Ok(asked)) => hub.borrow_mut().called_on(asked, &mut out),
+        Some(Ok((asked, body))) => hub.borrow_mut().called_on(asked, &body, &mut out),
         Some(Err(wrong)) => control::wrong(&mut out, wrong),
     }
     // An answer fits into the socket's buffer, so that this waits for nobody who reads.
@@ -74,21 +74,27 @@
 }
 
 /// Reads until there is a call; nothing if its caller leaves before.
-async fn read(stream: &Async<TcpStream>) -> Option<Result<Asked, Wrong>> {
+async fn read(stream: &Async<TcpStream>) -> Option<Result<(Asked, Vec<u8>), Wrong>> {
     let mut machine = Caller::default();
     let mut bytes = [0; 2048];
     loop {
         let read = stream.read(&mut bytes).await.ok().filter(|n| *n > 0)?;
         if let Some(asked) = machine.feed(&bytes[..read]) {
-            return Some(asked);
+            return Some(asked.map(|asked| (asked, machine.body())));
         }
         future::yield_now().await;
     }
 }
 
+/// Now, in milliseconds since 1970: to be shown, and for nothing else.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 impl Hub {
     /// Does what an operator asks for, and answers.
-    fn called_on(&mut self, asked: Asked, out: &mut Vec<u8>) {
+    fn called_on(&mut self, asked: Asked, body: &[u8], out: &mut Vec<u8>) {
         let Asked { call, head } = asked;
         if call == Call::Fleet {
             return match &self.callers.fleet {
@@ -96,6 +102,22 @@
                 None => control::wrong(out, Wrong::NotFound),
             };
         }
+        if let Call::Publish | Call::Close(_) | Call::AcceptFloor(_) = call {
+            let part = self.callers.fleet.clone();
+            let Some((part, versions)) = part.as_ref().and_then(|p| Some((p, p.versions.as_ref()?))) else {
+                return control::wrong(out, Wrong::NotFound);
+            };
+            let now = self.clock.now();
+            let (yes, text) = match call {
+                Call::Publish => versions.publish(now, unix_ms(), body),
+                Call::Close(floor) => versions.close(now, floor),
+                Call::AcceptFloor(number) => versions.accept_floor(number),
+                _ => return,
+            };
+            log(&format!("control: fleet: {}", text.trim_end()));
+            part.give();
+            return control::answer(out, yes, head, &text);
+        }
         let (yes, text) = match call {
             Call::Status => match () {
                 () if self.draining() => (false, "draining\n".into()),
@@ -105,7 +127,7 @@
             },
             Call::Metrics => (true, self.figures()),
             // Answered above.
-            Call::Fleet => (false, String::new()),
+            Call::Fleet | Call::Publish | Call::Close(_) | Call::AcceptFloor(_) => (false, String::new()),
             Call::Standby => {
                 self.stand_by(true);
                 (true, "standby\n".into())
--- a/node/src/net/fleet.rs
+++ b/node/src/net/fleet.rs
@@ -3,8 +3,10 @@
 use super::clock::Clock;
 use super::hub::Shared;
 use super::nudge::Nudge;
+use super::versions::{self, Act, Versions};
 use super::{ahead, by};
 use crate::log::log;
+use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use futures_lite::future;
 use pipitlever_fleet::own::Own;
@@ -15,6 +17,7 @@
 use pipitlever_fleet::sync::Session;
 use pipitlever_fleet::Fleet;
 use pipitlever_reactor::{Async, Timer};
+use pipitlever_versions::floor::Saved;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, RandomState};
@@ -51,6 +54,8 @@
     pub zone: String,
     /// Times and bounds.
     pub rules: Rules,
+    /// Versions of the settings, if the fleet decides them.
+    pub versions: Option<versions::Settings>,
 }
 
 /// The sockets, which pass from one process of the node to the next.
@@ -103,6 +108,8 @@
 /// The node's part.
 pub struct Part {
     fleet: RefCell<Fleet>,
+    /// Versions of the settings, if the fleet decides them.
+    pub versions: Option<Versions>,
     steady: RefCell<Steady>,
     clock: Clock,
     hub: Shared,
@@ -118,6 +125,25 @@
     tasks: RefCell<Vec<Task<()>>>,
     counts: Cell<Counts>,
     named: Cell<Option<Instant>>,
+    /// What has become of writing down a version that is to be acted on.
+    written: Written,
+}
+
+/// What has become of writing down a version: the floor that is on the disk, or why it is not.
+type Written = (Sender<Result<u64, String>>, Receiver<Result<u64, String>>);
+
+/// What a part begins with where the fleet decides versions.
+#[derive(Default)]
+pub struct Versioned {
+    /// What was on the disk.
+    pub saved: Option<Saved>,
+    /// Where versions go that are to be acted on.
+    pub acts: Option<Sender<Act>>,
+}
+
+/// The version that a member says it acts on.
+fn acting(payload: &[u8]) -> Option<u64> {
+    payload.try_into().ok().map(u64::from_le_bytes)
 }
 
 impl Part {
@@ -129,16 +155,18 @@
         settings: Settings,
         sockets: Sockets,
         passed: Option<Vec<u8>>,
+        versioned: Versioned,
     ) -> Result<Rc<Part>, String> {
         let wrong = |e: std::io::Error| format!("fleet: {e}");
         let clock = hub.borrow().clock;
-        let Settings { name: fleet, bind, mut advertise, seeds, zone, rules } = settings;
+        let Settings { name: fleet, bind, mut advertise, seeds, zone, rules, versions } = settings;
         let at = sockets.udp.local_addr().map_err(wrong)?;
         if advertise.port() == 0 {
             advertise.set_port(at.port());
         }
         let passed = passed.and_then(|bytes| Passed::read(&bytes));
         let contacts = passed.as_ref().map_or(Vec::new(), |p| p.contacts.clone());
+        let handed = passed.as_ref().and_then(|p| acting(&p.record.details.payload));
         let own = match passed {
             Some(passed) => Own::resumed(passed.record),
             // Not from the seed: two processes must never have the same.
@@ -149,8 +177,24 @@
         decisions.seeds(seeds);
         decisions.contacts(contacts);
         log(&format!("fleet: serving: fleet={fleet} member={name} bind={at} advertise={advertise}"));
+        let Versioned { saved, acts } = versioned;
+        let mut done = None;
+        let versions = match versions {
+            Some(settings) => {
+                let seed = RandomState::new().hash_one(now);
+                let (versions, written) =
+                    Versions::begin(hub.clone(), name, &settings, saved, acts, seed, now)?;
+                handed.inspect(|number| versions.handed(*number));
+                // From here on it hears what is not about the view.
+                decisions.set_hint(Vec::new());
+                done = Some(written);
+                Some(versions)
+            }
+            None => None,
+        };
         let part = Rc::new(Part {
             fleet: RefCell::new(decisions),
+            versions,
             steady: RefCell::new(Steady::new(now)),
             clock,
             hub,
@@ -165,8 +209,23 @@
             tasks: RefCell::default(),
             counts: Cell::default(),
             named: Cell::default(),
+            written: async_channel::unbounded(),
         });
         part.resume();
+        if let Some(done) = done {
+            let writer = part.clone();
+            let written = async move {
+                while let Ok(done) = done.recv().await {
+                    let said = writer.versions.as_ref().and_then(|v| v.done(writer.clock.now(), done));
+                    if let Some(written) = said {
+                        let _ = writer.written.0.try_send(written);
+                    }
+                    // What rests on it can be said now.
+                    writer.woken.give();
+                }
+            };
+            part.executor.spawn(written).detach();
+        }
         Ok(part)
     }
 
@@ -236,6 +295,9 @@
     fn turn<T>(&self, tell: impl FnOnce(&mut Fleet, i64) -> T) -> T {
         let mut fleet = self.fleet.borrow_mut();
         let told = tell(&mut fleet, self.clock.now());
+        if let Some(versions) = &self.versions {
+            versions.turn(&mut fleet, self.clock.now());
+        }
         let mut unsent = 0;
         let out = fleet.take_out();
         for (to, bytes) in &out {
@@ -251,13 +313,26 @@
         if fleet.wants_sync() {
             self.dial.give();
         }
-        let next = fleet.next_wake();
+        let next = self.versions.as_ref().map_or(i64::MAX, Versions::due).min(fleet.next_wake());
         if next < self.next.replace(next) {
             self.woken.give();
         }
         told
     }
 
+    /// Writes down that a version is about to be acted on; it is on the disk once this has come to its end.
+    pub async fn write_down(&self, number: u64, content: &[u8]) -> Result<(), String> {
+        let Some(versions) = &self.versions else { return Ok(()) };
+        versions.write(number, content);
+        let written = self.written.1.recv().await;
+        written.map_err(|_| "the disk's thread has ended".to_owned())?.map(|floor| versions.raise(floor))
+    }
+
+    /// It should look at what there is to do.
+    pub fn give(&self) {
+        self.woken.give();
+    }
+
     fn misunderstood(&self, what: &str, why: &pipitlever_fleet::message::Broken) {
         self.count(|c| c.malformed += 1);
         let now = Instant::now();
@@ -272,7 +347,7 @@
         let hub = self.hub.borrow();
         match () {
             () if hub.draining() => Standing::Draining,
-            () if hub.core.fresh() || !hub.taking => Standing::Starting,
+            () if hub.core.fresh() || !hub.taking || hub.core.barred(self.clock.now()) => Standing::Starting,
             () if hub.core.standing_by() => Standing::Standby,
             () if hub.core.crowded() => Standing::Overloaded,
             () => Standing::Serving,
@@ -306,7 +381,10 @@
         let seen = part.standing();
         let standing = part.steady.borrow_mut().see(part.clock.now(), seen);
         part.turn(|fleet, now| {
-            fleet.say(standing, b"");
+            match &part.versions {
+                Some(versions) => fleet.say(standing, &versions.acting().to_le_bytes()),
+                None => fleet.say(standing, b""),
+            }
             if fleet.next_wake() <= now {
                 fleet.wake(now);
             }
@@ -394,14 +472,17 @@
                 "name": name, "address": d.address.to_string(), "zone": d.zone,
                 "state": m.record.state.word(), "incarnation": m.record.incarnation,
                 "standing": d.standing.word(), "since_ms": (now - m.since).max(0) / 1000, "told_by": m.told_by,
-                "conflict": rivals,
+                "conflict": rivals, "acting": acting(&d.payload),
             })
         });
-        let view = json!({
+        let mut view = json!({
             "self": fleet.name(), "fleet": fleet.fleet(), "settled": fleet.settled(), "cut_off": fleet.cut_off(),
             "health": fleet.health(), "digest": format!("{:016x}", fleet.digest()),
             "members": members.collect::<Vec<_>>(),
         });
+        if let Some(versions) = &part.versions {
+            view["versions"] = versions.view(now);
+        }
         format!("{view}\n")
     })
 }
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -8,6 +8,7 @@
 use super::places::{Front, Place, Places};
 use super::pools::{Job, Pools, Put};
 use super::routes::{Backend, Named, Uwsgi};
+use crate::core::classes::Seat;
 use crate::core::counters::Files;
 use crate::core::durable::Durable;
 use crate::core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference, Rejected};
@@ -104,6 +105,9 @@
     pub uwsgi: Uwsgi,
 }
 
+/// Classes of a configuration, their names, and their places.
+type Seated = (Vec<Class>, Vec<Rc<str>>, Vec<Seat>);
+
 /// The classes of a configuration, in its order.
 fn classes(tuning: &Tuning) -> Vec<Class> {
     let Tuning { settings, classes: names, uwsgi, .. } = tuning;
@@ -232,10 +236,13 @@
         self.core.classes.names()
     }
 
-    /// Takes over the settings, classes and routes of another configuration, and says whether the module was told
-    /// anything; or nothing of it, and says why not.
-    pub fn retune(&mut self, new: Tuning) -> Result<bool, String> {
-        let wanted = classes(&new);
+    /// Whether another configuration's classes find their places.
+    pub fn fits(&self, new: &Tuning) -> Result<(), String> {
+        self.seated(new).map(drop)
+    }
+
+    fn seated(&self, new: &Tuning) -> Result<Seated, String> {
+        let wanted = classes(new);
         let names: Vec<Rc<str>> = wanted.iter().map(|c| c.name.clone()).collect();
         let core = &self.core;
         let same = |at: usize, class: usize| {
@@ -244,6 +251,13 @@
             old == wanted[class] && *core.class(at) == new.settings.classes[class]
         };
         let seats = core.classes.seat(&names, same, |at| core.class_in_use(at))?;
+        Ok((wanted, names, seats))
+    }
+
+    /// Takes over the settings, classes and routes of another configuration, and says whether the module was told
+    /// anything; or nothing of it, and says why not.
+    pub fn retune(&mut self, new: Tuning) -> Result<bool, String> {
+        let (wanted, names, seats) = self.seated(&new)?;
         for (class, seat) in wanted.into_iter().zip(&seats) {
             match self.classes.get_mut(seat.at) {
                 Some(place) => *place = class,
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -17,6 +17,7 @@
 pub mod processor;
 pub mod routes;
 pub mod store;
+pub mod versions;
 pub mod workers;
 
 use futures_lite::future;
--- /dev/null
+++ b/node/src/net/versions/disk.rs
@@ -0,0 +1,112 @@
+//! The files of a node's versions: what an elector has voted, and what is acted on. Each is written anew as a whole, synced, put in
+//! place by a rename, and the folder synced: a crash leaves the one or the other, never half of one. A thread does it, as a
+//! disk may take its time and no request may wait for that.
+
+use async_channel::{Receiver, Sender};
+use pipitlever_versions::elector::Kept;
+use pipitlever_versions::floor::Saved;
+use pipitlever_versions::saved::{read, write};
+use std::fs::{self, File};
+use std::io::{ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+/// What an elector has promised, accepted and closed.
+pub const ELECTOR: &str = "elector";
+/// The floor, and the version that is acted on.
+pub const ACTING: &str = "acting";
+
+/// A file to be written.
+pub enum Job {
+    /// An elector's votes, and the number of that write.
+    Elector(Box<Kept>, u64),
+    /// What is about to be acted on.
+    Acting(Saved),
+}
+
+/// What has become of one.
+pub enum Done {
+    /// The write of this number is on the disk, or is not.
+    Elector(u64, Result<(), String>),
+    /// So is this floor.
+    Acting(Result<u64, String>),
+}
+
+/// What is there: the elector's file only for one that is an elector.
+pub fn load<T: for<'a> serde::Deserialize<'a>>(folder: &Path, name: &str) -> Result<Option<T>, String> {
+    let path = folder.join(name);
+    match fs::read(&path) {
+        Ok(bytes) => match read(&bytes) {
+            Ok(kept) => Ok(Some(kept)),
+            Err(e) => Err(format!("{}: at {}: {:?}", path.display(), e.at, e.why)),
+        },
+        Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(format!("{}: {e}", path.display())),
+    }
+}
+
+fn put(folder: &Path, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+    let (new, place) = (folder.join(format!("{name}.new")), folder.join(name));
+    let mut file = File::create(&new)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    fs::rename(&new, &place)?;
+    // The name, too, is only there for certain once its folder is.
+    File::open(folder)?.sync_all()
+}
+
+/// Writes one after another until nobody asks any more.
+pub fn start(folder: PathBuf) -> Result<(Sender<Job>, Receiver<Done>), String> {
+    fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let (jobs, todo) = async_channel::unbounded::<Job>();
+    let (say, done) = async_channel::unbounded();
+    let work = move || {
+        while let Ok(job) = todo.recv_blocking() {
+            let wrong = |e: std::io::Error| format!("{}: {e}", folder.display());
+            let said = match job {
+                Job::Elector(kept, number) => {
+                    Done::Elector(number, put(&folder, ELECTOR, &write(&kept)).map_err(wrong))
+                }
+                Job::Acting(saved) => {
+                    let put = put(&folder, ACTING, &write(&saved)).map_err(wrong);
+                    Done::Acting(put.map(|()| saved.floor))
+                }
+            };
+            if say.send_blocking(said).is_err() {
+                return;
+            }
+        }
+    };
+    let thread = std::thread::Builder::new().name("versions".into()).spawn(work);
+    thread.map(|_| (jobs, done)).map_err(|e| format!("versions: no thread: {e}"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A file that was cut at any byte, or spoilt, was never put in place like that: it is an error with its name, not an empty disk.
+    #[test]
+    fn a_file_is_whole_or_named_as_damaged() {
+        let folder = std::env::temp_dir().join(format!("pipitlever-versions-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        assert_eq!(load::<Saved>(&folder, ACTING), Ok(None));
+        let saved = Saved { floor: 7, version: None, content: b"{}".to_vec() };
+        put(&folder, ACTING, &write(&saved)).unwrap();
+        assert_eq!(load::<Saved>(&folder, ACTING), Ok(Some(saved.clone())));
+        let bytes = fs::read(folder.join(ACTING)).unwrap();
+        for at in 0..bytes.len() {
+            let mut spoilt = bytes.clone();
+            spoilt[at] ^= 1;
+            for wrong in [&bytes[..at], &spoilt] {
+                fs::write(folder.join(ACTING), wrong).unwrap();
+                let found = load::<Saved>(&folder, ACTING);
+                assert!(found.as_ref().is_err_and(|e| e.contains(ACTING)), "{at}: {found:?}");
+            }
+        }
+        // What a crash left of the next one is not looked at.
+        put(&folder, ACTING, &write(&saved)).unwrap();
+        fs::write(folder.join("acting.new"), b"half of it").unwrap();
+        assert_eq!(load::<Saved>(&folder, ACTING), Ok(Some(saved)));
+        fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/node/src/wire/control.rs
+++ b/node/src/wire/control.rs
@@ -6,6 +6,8 @@
 pub const MOST_HEAD: usize = 8 << 10;
 /// The longest body, in bytes. No call needs one; it is read so that its sender hears the answer.
 pub const MOST_BODY: usize = 16 << 10;
+/// The longest version that is published, in bytes.
+pub const MOST_PUBLISHED: usize = 256 << 10;
 /// The most header fields.
 const MOST_FIELDS: usize = 64;
 
@@ -22,6 +24,12 @@
     Standby,
     /// `POST /active`: they hear good again.
     Active,
+    /// `POST /fleet/publish`: a version of the settings, as JSON in the body.
+    Publish,
+    /// `POST /fleet/close/N`: no node acts on a version below N.
+    Close(u64),
+    /// `POST /fleet/accept-floor/N`: this node acts on N and what follows.
+    AcceptFloor(u64),
 }
 
 /// Why a call is turned down.
@@ -75,6 +83,8 @@
     bytes: Vec<u8>,
     /// The call, and how much of its body is still to come.
     asked: Option<(Asked, usize)>,
+    /// The body, of a call that has one.
+    body: Vec<u8>,
     over: bool,
 }
 
@@ -86,6 +96,9 @@
         }
         let outcome = match self.asked {
             Some((asked, left)) => {
+                if asked.call == Call::Publish {
+                    self.body.extend_from_slice(&bytes[..bytes.len().min(left)]);
+                }
                 let left = left.saturating_sub(bytes.len());
                 self.asked = Some((asked, left));
                 (left == 0).then_some(Ok(asked))
@@ -96,6 +109,11 @@
         outcome
     }
 
+    /// The body of a call that has one.
+    pub fn body(self) -> Vec<u8> {
+        self.body
+    }
+
     fn head(&mut self, bytes: &[u8]) -> Option<Result<Asked, Wrong>> {
         // Never more than the longest head and what came with its end.
         self.bytes.extend_from_slice(bytes);
@@ -107,6 +125,9 @@
         match read(&self.bytes[..self.bytes.len().min(MOST_HEAD)]) {
             Ok(Some((asked, start, length))) => {
                 let left = (start + length).saturating_sub(self.bytes.len());
+                if asked.call == Call::Publish {
+                    self.body = self.bytes[start..self.bytes.len().min(start + length)].to_vec();
+                }
                 self.bytes = Vec::new();
                 self.asked = Some((asked, left));
                 (left == 0).then_some(Ok(asked))
@@ -118,6 +139,12 @@
     }
 }
 
+/// The number behind the beginning of a path.
+fn numbered(path: &str, start: &str) -> Option<u64> {
+    let digits = path.strip_prefix(start)?;
+    (!digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit())).then(|| digits.parse().ok())?
+}
+
 /// The call that a head is, where its body begins, and how much of that is waited for.
 fn read(bytes: &[u8]) -> Result<Option<(Asked, usize, usize)>, Wrong> {
     let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
@@ -160,6 +187,13 @@
         "/fleet" => (Call::Fleet, "GET, HEAD"),
         "/standby" => (Call::Standby, "POST"),
         "/active" => (Call::Active, "POST"),
+        "/fleet/publish" => (Call::Publish, "POST"),
+        _ if numbered(path, "/fleet/close/").is_some() => {
+            (Call::Close(numbered(path, "/fleet/close/").unwrap_or(0)), "POST")
+        }
+        _ if numbered(path, "/fleet/accept-floor/").is_some() => {
+            (Call::AcceptFloor(numbered(path, "/fleet/accept-floor/").unwrap_or(0)), "POST")
+        }
         _ => return Err(Wrong::NotFound),
     };
     if !allow.split(", ").any(|m| m == method) {
@@ -167,12 +201,13 @@
     }
     match length {
         _ if coded => return Err(Wrong::Coding),
+        Some(length) if call == Call::Publish && length <= MOST_PUBLISHED => {}
         Some(length) if length > MOST_BODY => return Err(Wrong::TooLong),
         _ => {}
     }
     // Who waits to be told to go on may be answered at once: no call reads its body.
     let waits = named("expect").next().is_some();
-    let body = if waits { 0 } else { length.unwrap_or(0) };
+    let body = if waits && call != Call::Publish { 0 } else { length.unwrap_or(0) };
     Ok(Some((Asked { call, head: method == "HEAD" }, start, body)))
 }
 
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -21,6 +21,7 @@
         probe_ms: 200,
         seeds: Vec::new(),
         fleet: true,
+        more: String::new(),
     }
 }
 
--- a/rig/src/parties.rs
+++ b/rig/src/parties.rs
@@ -21,6 +21,11 @@
 }
 
 impl Processor {
+    /// Runs that were begun, of all bodies.
+    pub fn begun(&self) -> usize {
+        self.runs.lock().expect("no holder panics").values().sum()
+    }
+
     /// Starts one; it ends with the test's process.
     pub fn start() -> Processor {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -29,6 +29,8 @@
     pub seeds: Vec<SocketAddr>,
     /// As above.
     pub fleet: bool,
+    /// More for the operator's file, with FOLDER for the node's folder.
+    pub more: String,
 }
 
 /// A line that a process said: when, which node, which process of it.
@@ -241,12 +243,13 @@
         };
         let first = self.nodes.iter().take(2).map(|n| n.relay.at).filter(|_| !advertise.is_empty());
         let seeds: Vec<String> = first.chain(self.spec.seeds.clone()).map(|at| format!("\"{at}\"")).collect();
-        let operator = format!(
+        let mut operator = format!(
             "[fleet]\nname = \"rig\"\nbind = \"{}:0\"\n{advertise}seeds = [{}]\nprobe_ms = {}\n",
             bind_address(node),
             seeds.join(", "),
             self.spec.probe_ms
         );
+        operator += &self.spec.more.replace("FOLDER", &n.folder.display().to_string());
         let files = [n.folder.join(format!("{number}.json")), n.folder.join(format!("{number}.toml"))];
         std::fs::write(&files[0], config.to_string()).expect("a file");
         std::fs::write(&files[1], if self.spec.fleet { operator } else { String::new() }).expect("a file");
--- a/rig/tests/sim.rs
+++ b/rig/tests/sim.rs
@@ -321,7 +321,7 @@
     wait(&mut world, 30, "the start");
     for i in 0..2000 {
         let news = (0..10).map(|k| liar(&format!("x{}", i * 10 + k), 5)).collect();
-        let packet = Packet { from: liar("liar", 5), digest: 0, body: Body::News, news };
+        let packet = Packet { from: liar("liar", 5), digest: 0, body: Body::News, news, hint: Vec::new() };
         world.inject(i % 10, packet.write("sim"));
         world.run(2_000);
     }
@@ -342,7 +342,8 @@
     let record = world.fleet(3).unwrap().own_record().clone();
     let from = Update { name: "n3".into(), record: record.clone(), by: None, age_s: 0 };
     let down = Update { record: Record { state: State::Down, ..record }, ..from.clone() };
-    let old = Packet { from, digest: 1, body: Body::Ack { seq: 77 }, news: vec![down] }.write("sim");
+    let old = Packet { from, digest: 1, body: Body::Ack { seq: 77 }, news: vec![down], hint: Vec::new() }
+        .write("sim");
     world.crash(3);
     world.run(10 * S);
     world.start(3, &[0]);
@@ -370,7 +371,7 @@
     // What somebody said of it long ago comes again.
     let record = world.fleet(3).unwrap().own_record().clone();
     let from = Update { name: "n3".into(), record, by: None, age_s: 0 };
-    let packet = Packet { from, digest: 1, body: Body::News, news: vec![old] }.write("sim");
+    let packet = Packet { from, digest: 1, body: Body::News, news: vec![old], hint: Vec::new() }.write("sim");
     (0..5).filter(|i| *i != 3).for_each(|i| world.inject(i, packet.clone()));
     world.run(100_000);
     assert!((0..5).all(|i| world.held(i, "n5").is_none()), "it is known to be old");
--- a/versions/src/elector.rs
+++ b/versions/src/elector.rs
@@ -232,7 +232,12 @@
             | Message::Accepted { seal, .. }
             | Message::Closed { seal, .. } => self.remember(from, *seal),
             Message::Decided(version) => self.decided(version),
-            Message::Refused { .. } | Message::Which | Message::Clock { .. } | Message::ClockIs { .. } => {}
+            Message::Refused { .. }
+            | Message::Which
+            | Message::Clock { .. }
+            | Message::ClockIs { .. }
+            | Message::Floor { .. }
+            | Message::FloorIs { .. } => {}
         }
         said
     }
--- a/versions/src/lib.rs
+++ b/versions/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod closer;
 pub mod elector;
+pub mod floor;
 pub mod lease;
 pub mod message;
 pub mod node;
--- a/versions/src/message.rs
+++ b/versions/src/message.rs
@@ -167,6 +167,20 @@
         /// The reading.
         at: Micros,
     },
+    /// A process that has started asks which versions there are, before it acts on any.
+    Floor {
+        /// Drawn by the one that asks.
+        nonce: u64,
+    },
+    /// What an elector has written of them.
+    FloorIs {
+        /// As it was asked.
+        nonce: u64,
+        /// The newest that it knows was decided.
+        newest: Version,
+        /// The highest that it knows of: decided, or accepted and not known to be.
+        highest: u64,
+    },
 }
 
 impl Message {
@@ -194,7 +208,8 @@
             | Message::Remembered { newest: v, .. } => v.sane(),
             Message::Closed { pending, .. } => pending.as_ref().is_none_or(Version::sane),
             Message::Which | Message::Known { .. } | Message::Sealed(_) | Message::Clock { .. } => true,
-            Message::ClockIs { .. } => true,
+            Message::ClockIs { .. } | Message::Floor { .. } => true,
+            Message::FloorIs { newest, .. } => newest.sane(),
         };
         sane.then_some(message)
     }
--- a/versions/src/node.rs
+++ b/versions/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::closer::{Closer, Stage};
 use crate::elector::{Elector, Kept, Said, Voting};
+use crate::floor::{Floor, Unknown};
 use crate::lease::{Leases, Rates};
 use crate::message::{Beat, Hint, Message};
 use crate::publisher::{Outcome, Publisher};
@@ -48,6 +49,8 @@
     pub lease: Micros,
     /// What to do without one.
     pub without: Without,
+    /// What to do where too few electors are heard to know the floor.
+    pub unknown: Unknown,
 }
 
 /// What happened.
@@ -69,6 +72,8 @@
     Published(Outcome),
     /// No node acts on a version below this one.
     Closed(u64),
+    /// Enough electors were heard: this node acts on nothing below this version.
+    Floor(u64),
 }
 
 /// Whether a node may act, and if not why.
@@ -80,6 +85,10 @@
     Closed,
     /// Its lease has run out, and it is to refuse then.
     NoLease,
+    /// Too few electors were heard since its start to know which versions it may not go back behind.
+    Unknown,
+    /// Its version lies below its floor: it waits for a newer one.
+    Below,
 }
 
 /// What can't be published, and why. Nothing has changed.
@@ -140,6 +149,7 @@
     held: Vec<Said>,
     leases: Leases,
     leased: bool,
+    floor: Floor,
     publisher: Option<Publisher>,
     closer: Option<Closer>,
     contents: VecDeque<(Digest, Rc<[u8]>)>,
@@ -155,17 +165,18 @@
 
 impl Node {
     /// Starts. `kept` is what an elector's disk holds, `Some(None)` an empty one; a node without a folder for it is no elector.
-    /// `acting` is the version that was written down last and its content.
+    /// `acting` is the version that was written down last and its content, `floor` the floor that was.
     pub fn new(
         name: &str,
         settings: Settings,
         kept: Option<Option<Kept>>,
         acting: Option<(Version, Rc<[u8]>)>,
+        floor: u64,
         seed: u64,
         now: Micros,
     ) -> Node {
         let mut rng = Rng::with_seed(seed);
-        let token = rng.u64(1..);
+        let (token, nonce) = (rng.u64(1..), rng.u64(1..));
         let elector = kept.map(|kept| Elector::start(name, kept, &settings.electors, token));
         let mut newest = match &elector {
             Some(elector) => elector.kept().0.newest.clone(),
@@ -194,6 +205,7 @@
             held: Vec::new(),
             leases: Leases::default(),
             leased: false,
+            floor: Floor::new(floor.max(number), nonce),
             publisher: None,
             closer: None,
             contents,
@@ -222,6 +234,29 @@
         self.unfit.as_ref()
     }
 
+    /// What is known of its floor.
+    pub fn floor(&self) -> &Floor {
+        &self.floor
+    }
+
+    /// The process before this one hands over the version that it acts on; it is this one's, too.
+    pub fn handed(&mut self, number: u64) {
+        if self.acting >= number {
+            self.floor.handed(number);
+        }
+    }
+
+    /// An operator says what the floor is.
+    pub fn accept_floor(&mut self, number: u64) {
+        self.floor.accept(number);
+        self.event(Event::Floor(number));
+    }
+
+    /// A version is about to be acted on, and that is on the disk.
+    pub fn raise(&mut self, number: u64) {
+        self.floor.raise(number);
+    }
+
     /// Its elector, if it has a disk to be one.
     pub fn elector(&self) -> Option<&Elector> {
         self.elector.as_ref()
@@ -333,6 +368,23 @@
                 self.leases.told(from, *start, *at, *asked, &self.newest.electors);
             }
             Message::Decided(version) => self.learn(now, from, version),
+            Message::Floor { nonce } => {
+                if let Some(elector) = self.elector.as_ref().filter(|e| *e.voting() == Voting::Yes) {
+                    let (kept, after) = elector.kept();
+                    let newest = kept.newest.clone();
+                    let highest = elector.pending().map_or(newest.number, |v| v.number.max(newest.number));
+                    let message = Message::FloorIs { nonce: *nonce, newest, highest };
+                    self.say(Said { to: from.to_owned(), message, after });
+                }
+            }
+            Message::FloorIs { nonce, newest, highest } if *nonce == self.floor.nonce() => {
+                // What it says of electors first: who is asked may have left them since.
+                self.learn(now, from, newest);
+                let electors = self.newest.electors.clone();
+                if self.floor.heard(from, *nonce, *highest, &electors) {
+                    self.event(Event::Floor(self.floor.floor()));
+                }
+            }
             _ => {}
         }
         if let Some(elector) = &mut self.elector {
@@ -498,6 +550,12 @@
 
     /// Whether it may act now. To be asked before each act: what was true a while ago is not known to be.
     pub fn may_act(&self, now: Micros) -> May {
+        match self.settings.unknown {
+            Unknown::Serve if !self.floor.open() && self.acting >= self.floor.floor() => {}
+            _ if !self.floor.open() => return May::Unknown,
+            _ if !self.floor.allows(self.acting) => return May::Below,
+            _ => {}
+        }
         match self.leased_until() {
             Some(until) if now < until => May::Act(until),
             _ if self.leases.closed(self.acting, &self.newest.electors) => May::Closed,
@@ -508,6 +566,11 @@
         }
     }
 
+    /// Whether it acts without a lease, too, while nothing that it knows of is closed.
+    pub fn serves(&self) -> bool {
+        self.settings.without == Without::Serve
+    }
+
     // What an operator asks for.
 
     /// Begins to publish. How it ends is told by an event.
@@ -652,6 +715,10 @@
             let asks = elector.asks();
             asks.into_iter().for_each(|s| self.say(s));
         }
+        let asked: Vec<String> = self.floor.asks(&self.newest.electors).cloned().collect();
+        for to in asked {
+            self.out.push((to, Message::Floor { nonce: self.floor.nonce() }));
+        }
         for elector in &self.newest.electors {
             if *elector != self.name && self.leases.asks(elector, now, self.settings.lease, self.rates) {
                 self.out.push((elector.clone(), Message::Clock { asked: now }));
--- a/versions/tests/nodes.rs
+++ b/versions/tests/nodes.rs
@@ -2,6 +2,7 @@
 
 use fastrand::Rng;
 use pipitlever_versions::elector::Kept;
+use pipitlever_versions::floor::Unknown;
 use pipitlever_versions::message::Message;
 use pipitlever_versions::node::{Draft, Event, May, Node, Settings, Unpublished, Without};
 use pipitlever_versions::publisher::Outcome;
@@ -66,12 +67,16 @@
     }
 
     fn start(&mut self, at: usize) {
-        let settings =
-            Settings { electors: (0..3).map(name).collect(), lease: 10 * S, without: self.without };
+        let settings = Settings {
+            electors: (0..3).map(name).collect(),
+            lease: 10 * S,
+            without: self.without,
+            unknown: Unknown::Wait,
+        };
         let seed = self.rng.u64(..);
         let p = &mut self.places[at];
         let kept = (at < 3).then(|| p.disk.clone());
-        p.node = Some(Node::new(&name(at), settings, kept, None, seed, p.offset + self.now));
+        p.node = Some(Node::new(&name(at), settings, kept, None, 0, seed, p.offset + self.now));
     }
 
     fn node(&mut self, at: usize) -> &mut Node {
@@ -369,7 +374,12 @@
 
 #[test]
 fn a_version_that_was_written_down_is_acted_on_after_a_restart() {
-    let settings = Settings { electors: (0..3).map(name).collect(), lease: 10 * S, without: Without::Serve };
+    let settings = Settings {
+        electors: (0..3).map(name).collect(),
+        lease: 10 * S,
+        without: Without::Serve,
+        unknown: Unknown::Wait,
+    };
     let content: Rc<[u8]> = b"one".to_vec().into();
     let version = Version {
         number: 4,
@@ -377,7 +387,10 @@
         by: "n0".into(),
         ..Version::genesis(&settings.electors)
     };
-    let node = Node::new("n7", settings, None, Some((version, content)), 1, 0);
+    let mut node = Node::new("n7", settings, None, Some((version, content)), 0, 1, 0);
     assert_eq!((node.acting(), node.newest().number, node.offer()), (4, 4, None));
+    // Its disk may be yesterday's, unless the process before it says the same.
+    assert_eq!(node.may_act(0), May::Unknown);
+    node.handed(4);
     assert!(acts(node.may_act(0)));
 }
