--- a/src/rules/requests.rs
+++ b/src/rules/requests.rs
@@ -71,7 +71,7 @@
         let fresh = self.s.fresh > 0 && r.has_key && !r.write;
         let share = fresh && self.class(r.class).idempotency == Idempotency::Free;
         if keyed || (share && self.memory.room(&self.s, self.s.key_kb)) {
-            // Kept while held, too, or its repeat would not be known; longer than the window from the arrival.
+            // Kept while held, too, or its repeat would not be known; beyond the window from the arrival.
             let (class, left) = (self.class(r.class), self.entries[&r.id].due - self.now);
             let window = if keyed { class.window.max(left) } else { self.s.fresh + class.aim };
             self.memory.keep(r.id, self.now + window);
