Replace a process while versions change, and bar the one that serves again at once

Need: the replacement during a publish had no test, and neither had a successor that votes and dies. Cause of the change: a process that serves again opened its fronts before it was known whether it may act (net/handover.rs, act_on, Resume), so a request could come in between under a version that the node had left.

Change: the part resumes first and bars the core itself.

--- a/node/src/net/handover.rs
+++ b/node/src/net/handover.rs
@@ -310,8 +310,10 @@
         }
         Act::Resume => {
             hub.borrow_mut().tell(|core, now| core.doubt_keys(now));
+            // Before the fronts: what it acts on may be stale by now, and nobody is to be let in before that is known.
+            let part = hub.borrow().callers.fleet.clone();
+            part.iter().for_each(|part| part.resume());
             offer.fronts.open();
-            hub.borrow().callers.fleet.iter().for_each(|part| part.resume());
             offer.open();
         }
         Act::Drop => {}
--- a/node/src/net/versions/mod.rs
+++ b/node/src/net/versions/mod.rs
@@ -196,6 +196,8 @@
         let mut node = self.node.borrow_mut();
         node.resume(now, kept, saved.map_or(0, |saved| saved.floor));
         self.offered.set(node.acting());
+        self.told.set(None);
+        self.hub.borrow_mut().core.allow(None);
     }
 
     /// A version was taken as a whole, or can't be.
--- a/node/tests/versions.rs
+++ b/node/tests/versions.rs
@@ -237,3 +237,67 @@
         assert!(numbers.windows(2).all(|n| n[0] < n[1]), "n{node}: {numbers:?}");
     }
 }
+
+/// A successor acts on what its predecessor did, at once and through a publish that comes meanwhile; and where it dies again the first
+/// one goes on from what it has written.
+#[test]
+fn a_replacement_neither_goes_back_nor_stops_serving() {
+    let folder = Scratch::new("versions-replaced");
+    let mut cluster = cluster(&folder, 4, "");
+    let all = [0, 1, 2, 3];
+    cluster.wait("all may act on their own files", |c| all_act(c, &all, 0));
+    assert!(publish(&cluster, &folder, 0, "monday").0);
+    cluster.wait("all act on 1", |c| all_act(c, &all, 1));
+    // n1 is an elector, n3 is none.
+    for (node, class) in [(1, "tuesday"), (3, "wednesday")] {
+        let acting = versions(&cluster, node).unwrap()["acting"].as_u64().unwrap();
+        let usual = ["monday", "tuesday"][acting as usize - 1];
+        let listen = cluster.nodes[node].process.as_ref().unwrap().gateways;
+        let behind = cluster.history.lines().len();
+        let launched = cluster.launch(node, &format!("n{node}"), Some(listen));
+        let number = launched.number;
+        // Callers ask all the while, of whatever process serves.
+        let mut asked = Vec::new();
+        let serves = |c: &Cluster| {
+            c.history.lines()[behind..]
+                .iter()
+                .any(|l| l.process == number && l.text.contains("fleet: serving"))
+        };
+        while !serves(&cluster) {
+            asked.push(ask(&cluster, node, usual));
+        }
+        // Published while the two change places.
+        assert!(publish(&cluster, &folder, 0, class).0);
+        let successor = cluster.ready(launched);
+        let mut old = cluster.nodes[node].process.replace(successor).unwrap();
+        cluster.wait("the new one acts on it", |c| all_act(c, &all, acting + 1));
+        assert!(asked.iter().all(|code| *code == 0), "{asked:?}");
+        assert_eq!((ask(&cluster, node, class), ask(&cluster, node, usual)), (0, NO_CLASS));
+        let lines = said(&cluster, node);
+        assert!(lines[0].contains(&format!("acting={acting} floor={acting}")), "{lines:#?}");
+        assert!(!lines.iter().any(|l| l.contains("refusing")), "{lines:#?}");
+        old.signal("-TERM");
+        assert_eq!(old.wait().code(), Some(0));
+    }
+
+    // One that takes over, votes for and acts on another version, and dies.
+    let listen = cluster.nodes[1].process.as_ref().unwrap().gateways;
+    let first = cluster.nodes[1].process.take().unwrap();
+    let successor = cluster.process(1, "n1", Some(listen));
+    cluster.nodes[1].process = Some(successor);
+    cluster.wait("it is the member", |c| versions(c, 1).is_some_and(|v| v["may_act"] == true));
+    assert!(publish(&cluster, &folder, 1, "thursday").0);
+    cluster.wait("all act on 4", |c| all_act(c, &all, 4));
+    cluster.nodes[1].process.as_ref().unwrap().signal("-KILL");
+    cluster.nodes[1].process = Some(first);
+    loop {
+        let answer = ask(&cluster, 1, "wednesday");
+        assert!(answer == REFUSED || answer == NO_CLASS, "{answer}: {:#?}", said(&cluster, 1));
+        if all_act(&cluster, &all, 4) {
+            break;
+        }
+    }
+    assert!(publish(&cluster, &folder, 1, "friday").0, "it votes again, and nobody doubts its disk");
+    cluster.wait("all act on 5", |c| all_act(c, &all, 5));
+    assert!(cluster.said("never votes again").is_empty());
+}
