--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -466,6 +466,11 @@
         std::mem::replace(&mut self.standby, standby) != standby
     }
 
+    /// Whether no work gets done: all cores are taken, and nothing ends.
+    pub fn stands_still(&self) -> bool {
+        self.module.as_ref().is_some_and(Controller::stands_still)
+    }
+
     /// Whether the module refuses work of low rank, or all.
     pub fn crowded(&self) -> bool {
         self.module.as_ref().is_some_and(|m| m.mode() != Mode::Normal)
--- a/node/src/net/hub/gateways.rs
+++ b/node/src/net/hub/gateways.rs
@@ -18,9 +18,9 @@
                     Err(code) => self.malformed(id, Some(number), code),
                 }
             }
-            Message::Alive(number) => {
+            Message::Alive { id: number, inner } => {
                 self.places.heard(id, self.clock.now());
-                let healthy = self.core.healthy();
+                let healthy = self.core.healthy() && !(inner && self.core.stands_still());
                 self.places.send(id, |out| jsonrpc::health(out, number, healthy, level));
             }
             Message::Cancel(number) => {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -369,6 +369,17 @@
         line.trim_end_matches("\r\n").to_owned()
     }
 
+    /// Answers nothing but questions for the gauges, for so long.
+    pub fn gauges_until(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            let line = self.read_line();
+            if let Some(tag) = line.strip_prefix("usage ") {
+                self.say(format!("used {tag} 1.0 2 0.1 2\r\n").as_bytes());
+            }
+        }
+    }
+
     /// The next command other than `usage`, which is answered, and its body.
     pub fn command(&mut self) -> (Vec<String>, Vec<u8>) {
         let start = Instant::now();
--- a/node/tests/deployments.rs
+++ b/node/tests/deployments.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use serde_json::{json, Value};
+use std::time::Duration;
 
 /// The usual settings, with runs that can be stopped in this way.
 fn stopping(mode: &str) -> Value {
@@ -129,3 +130,43 @@
     gateway.send("rota-view", params);
     assert_eq!(gateway.receive()["error"]["code"], -32602);
 }
+
+/// A check with `inner` asks whether work gets done. It was answered good while a server hung and failed all that it was sent.
+#[test]
+fn a_check_of_whether_work_gets_done_is_bad_while_none_does() {
+    let mut settings = stopping("abort");
+    settings["familyInfo"]["cpus"] = json!(2);
+    for class in settings["categories"].as_array_mut().unwrap() {
+        class["target"] = json!(400_000);
+    }
+    let mut processor = Processor::new();
+    let node = Node::start(json!({"processor": processor.address(), "settings": settings}), None);
+    processor.up();
+    let mut gateway = node.ready();
+    // Keyed runs, which nobody gives up for it.
+    let runs: Vec<Value> = (0..2).map(|i| work(20_000, Some(&format!("key-{i}")), b"x")).collect();
+    for params in &runs {
+        gateway.send("swap-confirm", params.clone());
+        processor.begin();
+    }
+    let hung = std::thread::spawn(move || {
+        // The gauges go on: the processor reads, and ends nothing.
+        processor.gauges_until(Duration::from_secs(3));
+        for params in &runs {
+            processor.complete(&reference(params), "fine", b"done");
+        }
+        processor
+    });
+    let mut checks = node.gateway();
+    let mut check = |params: Value| {
+        checks.send("alive", params);
+        checks.receive()["result"]["healthy"].as_bool().unwrap()
+    };
+    assert!(check(json!({"inner": true})));
+    while check(json!({"inner": true})) {}
+    assert!(check(json!({})), "there is somebody, who answers");
+    // It is good again with the first run that ends.
+    while !check(json!({"inner": true})) {}
+    assert_eq!(gateway.receive()["result"]["doc"], base64(b"done"));
+    drop(hung.join().unwrap());
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -9,6 +9,11 @@
         self.gates[0].modes.mode
     }
 
+    /// Whether all cores are taken and nothing ends, for longer than chance explains.
+    pub fn stands_still(&self) -> bool {
+        self.still.now
+    }
+
     /// Whether actions may still name this request; when not, a host can free what it keeps for it.
     pub fn knows(&self, id: RequestId) -> bool {
         self.entries.contains_key(&id)
