--- /dev/null
+++ b/affinity/src/homes.rs
@@ -0,0 +1,83 @@
+//! Which nodes remember a session for the others: the first ones in an order of all nodes that is another for each session
+//! (rendezvous hashing). Who comes takes a place among the first of few sessions, and those who had them are the next in that order.
+
+use crate::{hash, mix, Session};
+
+/// So many nodes remember a session.
+pub const COPIES: usize = 2;
+/// So many are asked for one: a home that has just come may know nothing yet, and one may be gone.
+pub const ASKED: usize = 3;
+
+/// The nodes that remember sessions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Homes {
+    /// Their names, and what stands for each.
+    all: Vec<(u64, String)>,
+}
+
+impl Homes {
+    /// These nodes.
+    pub fn new<'a>(names: impl Iterator<Item = &'a str>) -> Homes {
+        let mut all: Vec<(u64, String)> = names.map(|n| (hash(&[n.as_bytes()]), n.to_owned())).collect();
+        all.sort_unstable();
+        Homes { all }
+    }
+
+    /// The first ones for a session, in order.
+    pub fn first(&self, session: Session, count: usize) -> Vec<&str> {
+        let mut best: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
+        for (i, (node, _)) in self.all.iter().enumerate() {
+            let worth = mix(session, *node);
+            if best.len() < count || best.last().is_some_and(|(least, _)| worth > *least) {
+                let at = best.partition_point(|(w, _)| *w >= worth);
+                best.insert(at, (worth, i));
+                best.truncate(count);
+            }
+        }
+        best.into_iter().map(|(_, i)| self.all[i].1.as_str()).collect()
+    }
+
+    /// Whether a node is one of those that remember a session.
+    pub fn has(&self, session: Session, name: &str) -> bool {
+        self.first(session, COPIES).contains(&name)
+    }
+
+    /// Whether a node is one of them.
+    pub fn holds(&self, name: &str) -> bool {
+        let node = hash(&[name.as_bytes()]);
+        self.all.binary_search_by(|(n, _)| n.cmp(&node)).is_ok()
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_had_a_session_is_the_next_one_after_a_join() {
+        let names: Vec<String> = (0..20).map(|i| format!("n{i}")).collect();
+        let before = Homes::new(names[..19].iter().map(String::as_str));
+        let after = Homes::new(names.iter().map(String::as_str));
+        let mut new = 0;
+        for session in 0..10_000 {
+            let session = mix(session, 1);
+            let asked = after.first(session, ASKED);
+            // Whoever had it is asked still.
+            assert!(before.first(session, COPIES).iter().all(|n| asked.contains(n)));
+            new += usize::from(after.has(session, "n19"));
+        }
+        assert!((800..1_200).contains(&new), "{new} of 10,000 are two of twenty");
+        assert_eq!(before.first(7, 50).len(), 19);
+        assert!(Homes::default().first(7, 2).is_empty());
+    }
+}
--- /dev/null
+++ b/affinity/src/lib.rs
@@ -0,0 +1,53 @@
+//! Where each session lives: a session stays with its worker through versions, whichever node its client reaches, until the worker is
+//! taken away or fails; and all nodes come to hold the same.
+//!
+//! Nothing here does I/O or reads a clock.
+//!
+//! - [`stamp`]: the fleet's time, by which the older of two placements is told.
+//! - [`placement`]: where a session lives, and which of two placements holds.
+//! - [`choose`]: where one would live that is placed now.
+//! - [`homes`]: which nodes remember a session for the others.
+//! - [`table`]: what a node remembers, bounded.
+//! - [`message`]: what nodes say to each other.
+//! - [`lookup`]: asking for a session that is not known here; [`owed`]: what homes have not said that they have.
+//! - [`node`]: all of it together.
+//!
+//! `docs/affinity.md` has the design, what was compared, and the figures.
+
+pub mod choose;
+pub mod homes;
+pub mod lookup;
+pub mod message;
+pub mod node;
+pub mod owed;
+pub mod placement;
+pub mod stamp;
+pub mod table;
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// A reading of a clock, or a span of it, in microseconds.
+pub type Micros = i64;
+/// A session, as a digest of its pool and of the key that its client shows.
+pub type Session = u64;
+/// A worker, as a digest of its pool and name: wherever it is.
+pub type WorkerId = u32;
+
+/// Stands for some names, in an order: the same in all builds and processes, as nodes choose by it alone.
+pub fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0x7069_7069_746c_6576, 0x6572_6166_6669_6e31);
+    for part in parts {
+        hasher.write_u64(part.len() as u64);
+        hasher.write(part);
+    }
+    hasher.finish()
+}
+
+/// splitmix64's last step: two numbers that each stand for something, as one.
+pub fn mix(a: u64, b: u64) -> u64 {
+    let mut z = (a ^ b.rotate_left(32)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/affinity/src/node/fill.rs
@@ -0,0 +1,158 @@
+//! A node that has just come is filled before it is anybody's home: each that is one sends it what it is to remember.
+
+use super::Node;
+use crate::message::{Entry, Message, MOST};
+use crate::{Micros, Session};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// It is asked again after so long without a word, in microseconds.
+const AGAIN: Micros = 500_000;
+/// After so long a node does without what is missing: each session has another home.
+const LONGEST: Micros = 15_000_000;
+/// Pieces are sent so far apart, and so many messages in each.
+const PAUSE: Micros = 5_000;
+const PIECE: usize = 12;
+/// Starts that were served, of the last ones.
+const SERVED: usize = 64;
+
+/// How far it is.
+pub(super) struct Fill {
+    token: u64,
+    begun: Micros,
+    done: bool,
+    /// Those that have what it wants, and when one was last asked or heard.
+    wanted: BTreeMap<String, Option<Micros>>,
+    answered: BTreeSet<String>,
+    settled: bool,
+    /// Starts of others that were served.
+    served: Vec<(String, u64)>,
+}
+
+impl Fill {
+    pub(super) fn new(token: u64, now: Micros) -> Fill {
+        Fill {
+            token,
+            begun: now,
+            done: false,
+            wanted: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            settled: false,
+            served: Vec::new(),
+        }
+    }
+
+    /// Whether it has seen a view that was at rest.
+    pub(super) fn ready(&self) -> bool {
+        self.settled || self.done
+    }
+
+    pub(super) fn done(&self) -> bool {
+        self.done
+    }
+
+    pub(super) fn view(&mut self, filled: BTreeSet<String>, settled: bool) {
+        // A view that is not at rest may lack those that know all.
+        self.settled |= settled;
+        let held = std::mem::take(&mut self.wanted);
+        self.wanted = filled.into_iter().map(|n| (n.clone(), held.get(&n).copied().flatten())).collect();
+    }
+
+    pub(super) fn heard(&mut self, now: Micros, from: &str) {
+        if let Some(at) = self.wanted.get_mut(from).filter(|_| !self.done) {
+            *at = Some(now);
+        }
+    }
+
+    pub(super) fn answered(&mut self, token: u64, from: &str) {
+        if token == self.token && !self.done {
+            self.answered.insert(from.to_owned());
+        }
+    }
+
+    pub(super) fn next(&self) -> Option<Micros> {
+        if self.done {
+            return None;
+        }
+        let open = self.wanted.iter().filter(|(n, _)| !self.answered.contains(*n));
+        let again = open.map(|(_, at)| at.map_or(self.begun, |at| at + AGAIN)).min();
+        Some(again.unwrap_or(Micros::MAX).min(self.begun + LONGEST))
+    }
+}
+
+/// Sessions on their way to another node.
+pub(super) struct Job {
+    pub(super) to: String,
+    pub(super) sessions: Vec<Session>,
+    /// It is a start of that node that is served by this.
+    pub(super) token: Option<u64>,
+}
+
+impl Node {
+    /// Asks for what is missing; once nothing is, this node is a home.
+    pub(super) fn filling(&mut self, now: Micros) {
+        if self.fill.done {
+            return;
+        }
+        let fill = &mut self.fill;
+        for (name, at) in &mut fill.wanted {
+            if !fill.answered.contains(name) && at.is_none_or(|at| now >= at + AGAIN) {
+                *at = Some(now);
+                self.out.push((name.clone(), Message::Fill { token: fill.token }.write()));
+            }
+        }
+        let all = fill.wanted.keys().all(|n| fill.answered.contains(n));
+        let long = now >= fill.begun + LONGEST;
+        if fill.settled && all || long {
+            fill.done = true;
+        }
+    }
+
+    /// One that has just come wants what it is to remember.
+    pub(super) fn fill_other(&mut self, now: Micros, from: &str, token: u64) {
+        let start = (from.to_owned(), token);
+        if self.fill.served.contains(&start) {
+            // The word that it has all may be lost, not that it was sent.
+            if !self.jobs.iter().any(|j| j.token == Some(token)) {
+                self.out.push((start.0, Message::Filled { token }.write()));
+            }
+            return;
+        }
+        let mut sessions: Vec<Session> =
+            self.table.iter(now).map(|(s, ..)| s).filter(|s| self.coming.has(*s, from)).collect();
+        // It may be that the view here has it not yet.
+        if !self.coming.holds(from) {
+            sessions = self.table.iter(now).map(|(s, ..)| s).collect();
+        }
+        // Another home of a session sends it as well: that is for losses on the way.
+        self.fill.served.push(start);
+        if self.fill.served.len() > SERVED {
+            self.fill.served.remove(0);
+        }
+        self.jobs.push_back(Job { to: from.to_owned(), sessions, token: Some(token) });
+    }
+
+    /// Sends the next pieces.
+    pub(super) fn pieces(&mut self, now: Micros) {
+        if now < self.next_piece {
+            return;
+        }
+        for _ in 0..PIECE {
+            let Some(job) = self.jobs.front_mut() else { return };
+            if job.sessions.is_empty() {
+                let job = self.jobs.pop_front();
+                let done = job.and_then(|j| j.token.map(|token| (j.to, Message::Filled { token }.write())));
+                self.out.extend(done);
+                continue;
+            }
+            let at = job.sessions.len().saturating_sub(MOST);
+            let sessions = job.sessions.split_off(at);
+            let entry = |s: &Session| self.table.entry(now, *s);
+            let entries: Vec<Entry> = sessions.iter().filter_map(entry).collect();
+            let message = Message::Tell { time: self.time.read(now), entries, owed: true }.write();
+            let to = job.to.clone();
+            sessions.into_iter().for_each(|s| self.owed.told(now, s, vec![to.clone()]));
+            self.out.push((to, message));
+            self.next_piece = now + PAUSE;
+        }
+    }
+}
--- /dev/null
+++ b/affinity/src/node/heard.rs
@@ -0,0 +1,136 @@
+//! What the others say.
+
+use super::fill::Job;
+use super::{Found, Node, Peer};
+use crate::homes::Homes;
+use crate::lookup::Settled;
+use crate::message::{Entry, Message};
+use crate::table::Joined;
+use crate::{Micros, Session};
+use std::collections::BTreeMap;
+
+impl Node {
+    /// The view of the fleet has changed, or has come to rest.
+    pub fn view(&mut self, now: Micros, others: Vec<Peer>, settled: bool) {
+        let me = std::iter::once((self.name.as_str(), self.fill.done()));
+        let all: Vec<(&str, bool)> = others
+            .iter()
+            .filter(|p| p.name != self.name)
+            .map(|p| (p.name.as_str(), p.filled))
+            .chain(me)
+            .collect();
+        let homes = Homes::new(all.iter().filter(|(_, filled)| *filled).map(|(name, _)| *name));
+        self.coming = Homes::new(all.iter().map(|(name, _)| *name));
+        let before = std::mem::replace(&mut self.homes, homes);
+        if before != self.homes {
+            self.spread(now, &before);
+        }
+        let filled = others.into_iter().filter(|p| p.filled && p.name != self.name).map(|p| p.name);
+        self.fill.view(filled.collect(), settled);
+        self.filling(now);
+    }
+
+    /// A member said this.
+    pub fn heard(&mut self, now: Micros, from: &str, message: &Message) {
+        match message {
+            Message::Ask { time, ticket, session } => {
+                self.time.hear(now, *time);
+                self.table.touch(now, *session);
+                let placement = self.table.get(now, *session).map(|(p, _)| p);
+                let (time, ticket, session) = (self.time.read(now), *ticket, *session);
+                let answer = Message::Answer { time, ticket, session, placement };
+                self.out.push((from.to_owned(), answer.write()));
+            }
+            Message::Answer { time, ticket, session, placement } => {
+                self.time.hear(now, *time);
+                if let Some(settled) = self.questions.answer(*ticket, from, *session, *placement) {
+                    return self.settled(now, settled);
+                }
+                // A late one, or one that nobody waits for.
+                let Some((ours, _)) = self.table.get(now, *session) else { return };
+                match placement {
+                    // The others may have what it takes the place of.
+                    Some(theirs) if self.join(now, from, (*session, *theirs, 0)) => {
+                        self.tell(now, *session, *theirs);
+                    }
+                    Some(_) => {}
+                    // It should have it, and has not.
+                    None => self.answer_with(now, from, vec![(*session, ours, 0)]),
+                }
+            }
+            Message::Tell { time, entries, owed } => {
+                self.time.hear(now, *time);
+                self.fill.heard(now, from);
+                for entry in entries {
+                    let (session, placement, _) = *entry;
+                    let mine = self.homes.has(session, &self.name) || self.coming.has(session, &self.name);
+                    // Strangers fill nobody's memory with what is not his to remember.
+                    if mine || self.table.get(now, session).is_some() {
+                        self.join(now, from, *entry);
+                    }
+                    if *owed && self.table.get(now, session).is_some() {
+                        self.out.push((from.to_owned(), Message::Have { session }.write()));
+                    }
+                    if let Some(settled) = self.questions.told(session, placement) {
+                        self.settled(now, settled);
+                    }
+                }
+            }
+            Message::Have { session } => self.owed.has(*session, from),
+            Message::Fill { token } => self.fill_other(now, from, *token),
+            Message::Filled { token } => {
+                self.fill.answered(*token, from);
+                self.filling(now);
+            }
+        }
+    }
+
+    /// Takes in what another one holds; if what is held here is older, that one hears of it.
+    /// Whether it holds here from now on.
+    fn join(&mut self, now: Micros, from: &str, entry: Entry) -> bool {
+        let (session, placement, idle) = entry;
+        let joined = self.table.join(now, session, placement, idle);
+        if let Joined::Older(ours) = joined {
+            self.answer_with(now, from, vec![(session, ours, 0)]);
+        }
+        joined == Joined::New
+    }
+
+    fn answer_with(&mut self, now: Micros, to: &str, entries: Vec<Entry>) {
+        let message = Message::Tell { time: self.time.read(now), entries, owed: false };
+        self.out.push((to.to_owned(), message.write()));
+    }
+
+    /// A question is settled: those who wait hear of it.
+    pub(super) fn settled(&mut self, now: Micros, settled: Settled) {
+        let Settled { session, pool, waiting, placement } = settled;
+        let found = match placement {
+            _ if pool >= self.pools.len() => Found::Nowhere,
+            Some(placement) => {
+                self.table.join(now, session, placement, 0);
+                // What is older may have been heard of meanwhile.
+                let held = self.table.get(now, session).map_or(placement, |(p, _)| p);
+                self.settle(now, pool, session, held)
+            }
+            None => self.known(now, pool, session),
+        };
+        self.found.extend(waiting.into_iter().map(|w| (w, found)));
+    }
+
+    /// The homes have changed: those that are new hear what they are to remember, each from one that had it.
+    fn spread(&mut self, now: Micros, before: &Homes) {
+        let mut to: BTreeMap<String, Vec<Session>> = BTreeMap::new();
+        for (session, ..) in self.table.iter(now) {
+            let had = before.first(session, super::COPIES);
+            let have = self.homes.first(session, super::COPIES);
+            // Of those that had it the first one that is left says so; if none is, whoever has it for its own clients.
+            let left = had.iter().find(|h| self.homes.holds(h));
+            if left.is_none_or(|h| *h == self.name) {
+                for home in have.into_iter().filter(|h| !had.contains(h) && *h != self.name) {
+                    to.entry(home.to_owned()).or_default().push(session);
+                }
+            }
+        }
+        self.jobs.extend(to.into_iter().map(|(to, sessions)| Job { to, sessions, token: None }));
+    }
+}
--- /dev/null
+++ b/affinity/src/node/mod.rs
@@ -0,0 +1,337 @@
+//! One node's part: what it remembers of sessions, for its own clients and as a home for others.
+
+use crate::choose::choose;
+use crate::homes::{Homes, ASKED, COPIES};
+use crate::lookup::Questions;
+use crate::message::Message;
+use crate::owed::Owed;
+use crate::placement::Placement;
+use crate::stamp::{Birth, Time};
+use crate::table::Table;
+use crate::{hash, mix, Micros, Session, WorkerId};
+use fill::{Fill, Job};
+use std::collections::{BTreeMap, VecDeque};
+
+mod fill;
+mod heard;
+mod pools;
+
+pub use pools::{Cause, Moves, Pool, PoolState, Server};
+
+/// What a node keeps to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// A request waits no longer than this for word of its session, in microseconds.
+    pub wait: Micros,
+    /// Sessions that it remembers, at the most.
+    pub most: usize,
+}
+
+/// Another node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// It has what it is to remember.
+    pub filled: bool,
+}
+
+/// Where a request's session lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// There.
+    At(WorkerId),
+    /// It is being asked for: [`Node::take_found`] will say.
+    Asked,
+    /// Nowhere: no worker takes it now.
+    Nowhere,
+}
+
+/// Sessions of other nodes' clients alone, and those that nobody wanted for so long, are asked for again; in seconds.
+const CACHED: u32 = 60;
+/// How often what is idle is let go, in microseconds.
+const SWEEP: Micros = 5_000_000;
+
+/// The node.
+pub struct Node {
+    name: String,
+    /// Stands for it, where two nodes place something in one second.
+    by: u16,
+    settings: Settings,
+    time: Time,
+    version: u16,
+    table: Table,
+    pools: Vec<PoolState>,
+    /// Those that remember sessions, and those that will once they have come.
+    homes: Homes,
+    coming: Homes,
+    questions: Questions,
+    owed: Owed,
+    fill: Fill,
+    jobs: VecDeque<Job>,
+    next_piece: Micros,
+    next_sweep: Micros,
+    out: Vec<(String, Vec<u8>)>,
+    found: Vec<(u64, Found)>,
+}
+
+impl Node {
+    /// One that has just started, at this date. `token` stands for this start of it.
+    pub fn new(
+        name: &str,
+        settings: Settings,
+        pools: Vec<Pool>,
+        unix_s: u32,
+        token: u64,
+        now: Micros,
+    ) -> Node {
+        let mut node = Node {
+            name: name.to_owned(),
+            by: hash(&[name.as_bytes()]) as u16,
+            settings,
+            time: Time::new(unix_s, now),
+            version: 0,
+            table: Table::new(settings.most, now),
+            pools: Vec::new(),
+            homes: Homes::default(),
+            coming: Homes::default(),
+            questions: Questions::default(),
+            owed: Owed::default(),
+            fill: Fill::new(token, now),
+            jobs: VecDeque::new(),
+            next_piece: now,
+            next_sweep: now + SWEEP,
+            out: Vec::new(),
+            found: Vec::new(),
+        };
+        node.set_pools(now, 0, pools);
+        node
+    }
+
+    /// Another version, or another file, is in force. What is known of a pool that stays, by whatever name it went, goes on.
+    pub fn set_pools(&mut self, now: Micros, version: u64, pools: Vec<Pool>) {
+        self.version = version as u16;
+        let before = std::mem::take(&mut self.pools);
+        let state = |pool: Pool| PoolState::new(pool, &before, now);
+        self.pools = pools.into_iter().map(state).collect();
+    }
+
+    /// Where a request's session lives. `key` stands for what its client shows, `waiting` for the request.
+    pub fn want(&mut self, now: Micros, pool: usize, key: u64, waiting: u64) -> Found {
+        let Some(session) = self.pools.get(pool).map(|p| mix(p.id, key)) else { return Found::Nowhere };
+        if !self.fill.ready() {
+            // It knows nobody yet whom it could ask.
+            return Found::Nowhere;
+        }
+        if let Some((placement, fresh)) = self.table.get(now, session) {
+            self.table.touch(now, session);
+            // Its homes are told of each move. Others hold what they have against them where they have not of late.
+            let home = self.homes.has(session, &self.name);
+            if fresh || home {
+                if !fresh {
+                    self.table.check(now, session);
+                    self.ask(now, session, 0);
+                }
+                return self.settle(now, pool, session, placement);
+            }
+            self.table.check(now, session);
+        }
+        if self.questions.join(session, waiting) {
+            return Found::Asked;
+        }
+        let homes = self.homes.first(session, ASKED);
+        let first = homes.iter().take(COPIES).filter(|h| **h != self.name).count();
+        let others: Vec<&str> = homes.into_iter().filter(|h| *h != self.name).collect();
+        let until = now + self.settings.wait;
+        let asked = match others.is_empty() {
+            true => None,
+            false => self.questions.ask(pool, session, &others, first, [now, until], waiting),
+        };
+        match asked {
+            Some(ticket) => {
+                self.ask(now, session, ticket);
+                Found::Asked
+            }
+            None => self.known(now, pool, session),
+        }
+    }
+
+    /// Where a session lives that nobody is asked for, or of which nobody has said anything.
+    fn known(&mut self, now: Micros, pool: usize, session: Session) -> Found {
+        match self.table.get(now, session) {
+            Some((placement, _)) => self.settle(now, pool, session, placement),
+            None => self.place(now, pool, session),
+        }
+    }
+
+    fn ask(&mut self, now: Micros, session: Session, ticket: u32) {
+        let message = Message::Ask { time: self.time.read(now), ticket, session }.write();
+        let others = self.homes.first(session, ASKED).into_iter().filter(|h| *h != self.name);
+        self.out.extend(others.map(|home| (home.to_owned(), message.clone())));
+    }
+
+    /// A session that nobody knows.
+    fn place(&mut self, now: Micros, pool: usize, session: Session) -> Found {
+        let Some(worker) = self.choose(pool, session, None) else { return Found::Nowhere };
+        let birth = Birth { seconds: self.time.read(now), by: self.by };
+        let placement = Placement { worker, birth, moves: 0, version: self.version };
+        self.pools[pool].moves.placed += 1;
+        self.table.join(now, session, placement, 0);
+        self.tell(now, session, placement);
+        Found::At(worker)
+    }
+
+    /// A worker that is well, or any that takes sessions where none of these is.
+    fn choose(&self, pool: usize, session: Session, not: Option<WorkerId>) -> Option<WorkerId> {
+        let state = &self.pools[pool];
+        let well = choose(session, &state.workers, |w| Some(w) == not || state.is_out(w));
+        well.or_else(|| choose(session, &state.workers, |w| Some(w) == not))
+    }
+
+    /// Where a session is that lives there: there, unless it has to move.
+    fn settle(&mut self, now: Micros, pool: usize, session: Session, placement: Placement) -> Found {
+        let state = &mut self.pools[pool];
+        let cause = match state.leaves(now, placement.worker) {
+            None => return Found::At(placement.worker),
+            // Under a version that this node has not taken yet there is such a worker. It is, any moment; if not, its side goes on.
+            Some(Cause::Removed) if placement.after(self.version) => {
+                return match state.unknown(now, placement.worker) {
+                    true => Found::Nowhere,
+                    false => self.choose(pool, session, None).map_or(Found::Nowhere, Found::At),
+                };
+            }
+            Some(cause) => cause,
+        };
+        self.shift(now, pool, session, placement, cause).map_or(Found::Nowhere, Found::At)
+    }
+
+    /// It moves, if there is anywhere to go.
+    fn shift(
+        &mut self,
+        now: Micros,
+        pool: usize,
+        session: Session,
+        from: Placement,
+        cause: Cause,
+    ) -> Option<WorkerId> {
+        let Some(worker) = self.choose(pool, session, Some(from.worker)) else {
+            // A worker that failed is better than none.
+            return (cause != Cause::Removed).then_some(from.worker);
+        };
+        let placement = from.moved(worker, self.version);
+        self.pools[pool].moves.count(cause);
+        self.table.join(now, session, placement, 0);
+        self.tell(now, session, placement);
+        Some(worker)
+    }
+
+    /// A run of a session never began, as its worker could not be reached: it moves at once. Where to, if anywhere else.
+    pub fn unreachable(&mut self, now: Micros, pool: usize, key: u64, worker: WorkerId) -> Option<WorkerId> {
+        let session = mix(self.pools.get(pool)?.id, key);
+        match self.table.get(now, session) {
+            Some((p, _)) if p.worker == worker => {
+                self.shift(now, pool, session, p, Cause::Unreachable).filter(|w| *w != worker)
+            }
+            // It has moved meanwhile.
+            Some((p, _)) => Some(p.worker),
+            None => self.choose(pool, session, Some(worker)),
+        }
+    }
+
+    /// Its homes hear where it lives, and those that will be its homes.
+    fn tell(&mut self, now: Micros, session: Session, placement: Placement) {
+        let mut to = self.homes.first(session, COPIES);
+        to.extend(self.coming.first(session, COPIES).into_iter().filter(|n| !self.homes.has(session, n)));
+        let to: Vec<String> = to.into_iter().filter(|n| *n != self.name).map(str::to_owned).collect();
+        self.tell_these(now, session, placement, &to);
+        self.owed.told(now, session, to);
+    }
+
+    fn tell_these(&mut self, now: Micros, session: Session, placement: Placement, to: &[String]) {
+        let entries = vec![(session, placement, 0)];
+        let message = Message::Tell { time: self.time.read(now), entries, owed: true }.write();
+        self.out.extend(to.iter().map(|n| (n.clone(), message.clone())));
+    }
+
+    /// These workers of a pool are left out, as their runs fail.
+    pub fn left_out(&mut self, now: Micros, pool: usize, out: &[WorkerId]) {
+        if let Some(state) = self.pools.get_mut(pool) {
+            state.left_out(now, out);
+        }
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros) {
+        for settled in self.questions.due(now) {
+            self.settled(now, settled);
+        }
+        for (ticket, session, homes) in self.questions.again(now) {
+            let message = Message::Ask { time: self.time.read(now), ticket, session }.write();
+            self.out.extend(homes.into_iter().map(|home| (home, message.clone())));
+        }
+        for (session, homes) in self.owed.again(now) {
+            if let Some((placement, _)) = self.table.get(now, session) {
+                self.tell_these(now, session, placement, &homes);
+            }
+        }
+        self.filling(now);
+        self.pieces(now);
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            let (homes, coming, name) = (&self.homes, &self.coming, &self.name);
+            let idle = self.pools.iter().map(|p| p.idle).max().unwrap_or_default();
+            self.table.sweep(now, |session, seconds| {
+                seconds < CACHED || seconds < idle && (homes.has(session, name) || coming.has(session, name))
+            });
+        }
+    }
+
+    /// When it wants to be woken.
+    pub fn due(&self) -> Micros {
+        let piece = (!self.jobs.is_empty()).then_some(self.next_piece);
+        let all = [self.questions.next(), self.owed.next(), piece, self.fill.next()];
+        all.into_iter().flatten().fold(self.next_sweep, Micros::min)
+    }
+
+    /// What is to be sent.
+    pub fn take_out(&mut self) -> Vec<(String, Vec<u8>)> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// What became of requests that waited.
+    pub fn take_found(&mut self) -> Vec<(u64, Found)> {
+        std::mem::take(&mut self.found)
+    }
+
+    /// Whether it knows whom to ask: before that no session is to be had here.
+    pub fn ready(&self) -> bool {
+        self.fill.ready()
+    }
+
+    /// Whether it has what it is to remember.
+    pub fn filled(&self) -> bool {
+        self.fill.done()
+    }
+
+    /// What it remembers.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// The pools.
+    pub fn pools(&self) -> &[PoolState] {
+        &self.pools
+    }
+
+    /// What is known here of a session, for tests and for operators.
+    pub fn placement(&self, now: Micros, pool: usize, key: u64) -> Option<Placement> {
+        self.table.get(now, mix(self.pools.get(pool)?.id, key)).map(|(p, _)| p)
+    }
+
+    /// Sessions by worker, in one pool.
+    pub fn counts(&self, pool: usize) -> BTreeMap<String, usize> {
+        let Some(state) = self.pools.get(pool) else { return BTreeMap::new() };
+        let count = |id| self.table.counts().get(&id).copied().unwrap_or_default();
+        state.names.iter().map(|(id, name)| (name.clone(), count(*id))).collect()
+    }
+}
--- /dev/null
+++ b/affinity/src/node/pools.rs
@@ -0,0 +1,151 @@
+//! A pool's workers, as far as sessions go: who takes them, who keeps them, and since when one fails.
+
+use crate::choose::Worker;
+use crate::{hash, mix, Micros, WorkerId};
+use std::collections::BTreeMap;
+
+/// A worker, as the file has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name: it is the same one wherever it is.
+    pub name: String,
+    /// Its share of new sessions; above 0.
+    pub weight: f64,
+    /// It takes new ones.
+    pub takes: bool,
+    /// It takes none, and keeps those that it has for a while.
+    pub drains: bool,
+}
+
+/// A pool whose sessions stay.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// Its name.
+    pub name: String,
+    /// What it was called before, the oldest first.
+    pub was: Vec<String>,
+    /// Its workers.
+    pub workers: Vec<Server>,
+    /// A session that nobody wanted for so many seconds is forgotten.
+    pub idle: u32,
+    /// A worker that fails keeps its sessions for so long, in microseconds.
+    pub patience: Micros,
+    /// One that drains does for so long, in microseconds.
+    pub linger: Micros,
+}
+
+/// Why a session has to move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Its worker is no member any more, is disabled, or has drained for long enough.
+    Removed,
+    /// Its worker has failed for too long.
+    Failed,
+    /// Its run could not begin there.
+    Unreachable,
+}
+
+/// What has become of sessions here since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Moves {
+    /// Placed for the first time.
+    pub placed: u64,
+    /// Moved, by cause.
+    pub removed: u64,
+    /// As above.
+    pub failed: u64,
+    /// As above.
+    pub unreachable: u64,
+}
+
+impl Moves {
+    pub(super) fn count(&mut self, cause: Cause) {
+        match cause {
+            Cause::Removed => self.removed += 1,
+            Cause::Failed => self.failed += 1,
+            Cause::Unreachable => self.unreachable += 1,
+        }
+    }
+}
+
+/// Workers that are not known yet and have been met, at the most.
+const MOST_UNKNOWN: usize = 64;
+
+/// A pool, and what is known of its workers.
+pub struct PoolState {
+    /// The file.
+    pub pool: Pool,
+    /// What has become of its sessions.
+    pub moves: Moves,
+    pub(super) id: u64,
+    pub(super) idle: u32,
+    pub(super) workers: Vec<Worker>,
+    pub(super) names: BTreeMap<WorkerId, String>,
+    /// Since when one drains, fails, or is wanted and not known.
+    drains: BTreeMap<WorkerId, Micros>,
+    out: BTreeMap<WorkerId, Micros>,
+    unknown: BTreeMap<WorkerId, Micros>,
+}
+
+impl PoolState {
+    pub(super) fn new(pool: Pool, before: &[PoolState], now: Micros) -> PoolState {
+        // By its first name: a rename moves nobody.
+        let id = hash(&[pool.was.first().unwrap_or(&pool.name).as_bytes()]);
+        let worker_id = |name: &str| mix(id, hash(&[name.as_bytes()])) as WorkerId;
+        let worker = |s: &Server| {
+            let (id, keeps) = (worker_id(&s.name), s.takes || s.drains);
+            Worker { id, weight: s.weight, takes: s.takes, keeps }
+        };
+        let workers: Vec<Worker> = pool.workers.iter().map(worker).collect();
+        let names = pool.workers.iter().map(|s| (worker_id(&s.name), s.name.clone())).collect();
+        let old = before.iter().find(|b| b.id == id);
+        let since = |worker: &Worker| old.and_then(|o| o.drains.get(&worker.id)).copied().unwrap_or(now);
+        let drains = workers.iter().filter(|w| w.keeps && !w.takes).map(|w| (w.id, since(w))).collect();
+        let out = old.map(|o| o.out.clone()).unwrap_or_default();
+        let moves = old.map(|o| o.moves).unwrap_or_default();
+        let idle = pool.idle;
+        PoolState { pool, moves, id, idle, workers, names, drains, out, unknown: BTreeMap::new() }
+    }
+
+    /// Whether a session has to leave a worker, and why.
+    pub(super) fn leaves(&self, now: Micros, worker: WorkerId) -> Option<Cause> {
+        let keeps = self.workers.iter().any(|w| w.id == worker && w.keeps);
+        let lingered = self.drains.get(&worker).is_some_and(|since| now - since >= self.pool.linger);
+        let failed = self.out.get(&worker).is_some_and(|since| now - since >= self.pool.patience);
+        match () {
+            () if !keeps || lingered => Some(Cause::Removed),
+            () if failed => Some(Cause::Failed),
+            () => None,
+        }
+    }
+
+    /// Whether a worker that a later version has is still waited for.
+    pub(super) fn unknown(&mut self, now: Micros, worker: WorkerId) -> bool {
+        if self.unknown.len() >= MOST_UNKNOWN && !self.unknown.contains_key(&worker) {
+            return false;
+        }
+        let since = *self.unknown.entry(worker).or_insert(now);
+        now - since < self.pool.patience
+    }
+
+    pub(super) fn left_out(&mut self, now: Micros, out: &[WorkerId]) {
+        self.out.retain(|w, _| out.contains(w));
+        for worker in out {
+            self.out.entry(*worker).or_insert(now);
+        }
+    }
+
+    pub(super) fn is_out(&self, worker: WorkerId) -> bool {
+        self.out.contains_key(&worker)
+    }
+
+    /// The number of a worker in the file, by what it is called here.
+    pub fn position(&self, worker: WorkerId) -> Option<usize> {
+        self.workers.iter().position(|w| w.id == worker)
+    }
+
+    /// What the worker with that number is called here.
+    pub fn id(&self, position: usize) -> Option<WorkerId> {
+        self.workers.get(position).map(|w| w.id)
+    }
+}
--- a/node/src/life/fleet.rs
+++ b/node/src/life/fleet.rs
@@ -1,8 +1,9 @@
 //! `[fleet]` of the operator's file.
 
-use super::operator::{line, within};
+use super::text::{line, within};
 use super::versions::VersionsSection;
 use crate::net::fleet::Settings;
+use crate::net::share::Apart;
 use pipitlever_fleet::record::MOST_NAME;
 use pipitlever_fleet::rules::Rules;
 use serde::Deserialize;
@@ -28,6 +29,15 @@
     #[serde(default)]
     trusted_network: bool,
     versions: Option<VersionsSection>,
+    share_apart: Option<Spanned<ShareApart>>,
+}
+
+/// What a node keeps to of a shared pool while it may be cut off.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ShareApart {
+    Keep,
+    Least,
 }
 
 impl FleetSection {
@@ -73,7 +83,18 @@
             most_members: within(text, "most_members", self.most_members, usual.most_members, [2, 10_000])?,
             ..usual
         };
+        let apart = match &self.share_apart {
+            Some(apart) if matches!(apart.get_ref(), ShareApart::Least) => {
+                if self.versions.is_none() {
+                    // Whether it is cut off, and since when, is known by its lease.
+                    return wrong(apart.span().start, "share_apart = \"least\" needs [fleet.versions]");
+                }
+                Apart::Least
+            }
+            _ => Apart::Keep,
+        };
         Ok(Settings {
+            apart,
             name: name("name", &self.name)?,
             bind,
             advertise,
@@ -116,6 +137,8 @@
             (fleet("most_members = 1"), "line 4: most_members = 1: it lies from 2"),
             (fleet("forget_s = 5"), "line 4: forget_s = 5: it lies from 60"),
             (fleet("gossip = true"), "line 4: unknown field `gossip`"),
+            (fleet("share_apart = \"keep\""), ""),
+            (fleet("share_apart = \"least\""), "line 4: share_apart = \"least\" needs [fleet.versions]"),
         ];
         for (text, expected) in cases {
             match Operator::read(&text, &[]) {
--- a/node/src/life/operator.rs
+++ b/node/src/life/operator.rs
@@ -2,9 +2,10 @@
 //! value is an error that names its line.
 
 use super::fleet::FleetSection;
+use super::pools::{labelled, members, pools, PoolSection, WorkerEntry};
+use super::text::{line, within};
 use crate::net::fleet;
 use crate::net::routes::{Backend, Named, Route, Uwsgi};
-use pipitlever_pools::pool::{Member, Use};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -137,102 +138,6 @@
     deadline_ms: Option<Spanned<u64>>,
 }
 
-/// A pool with a name.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct PoolSection {
-    name: Spanned<String>,
-    fallback: Option<Spanned<String>>,
-    #[serde(default)]
-    member: Vec<WorkerEntry>,
-}
-
-/// Reads pools, in the order of the file; the first place is that of `workers`.
-fn pools(text: &str, sections: Vec<PoolSection>) -> Result<Vec<Named>, String> {
-    let names: Vec<String> = sections.iter().map(|s| s.name.get_ref().clone()).collect();
-    let mut all = Vec::new();
-    for section in sections {
-        let (name, at) = (section.name.get_ref().clone(), section.name.span().start);
-        if name.is_empty() || names.iter().filter(|n| **n == name).count() > 1 {
-            return Err(line(text, at, &format!("a pool needs a name of its own: {name:?}")));
-        }
-        if section.member.is_empty() {
-            return Err(line(text, at, &format!("pool {name} has no member")));
-        }
-        let fallback = section.fallback.map(|fallback| {
-            let at = fallback.span().start;
-            let found = names.iter().position(|n| n == fallback.get_ref() && *n != name);
-            found
-                .map(|i| i + 1)
-                .ok_or_else(|| line(text, at, &format!("no other pool {}", fallback.get_ref())))
-        });
-        let members = members(text, &[], section.member)?;
-        all.push(Named { name, fallback: fallback.transpose()?, members });
-    }
-    // Whoever follows the fall-backs must come to an end.
-    for start in 1..=all.len() {
-        let next = |i: &usize| all[*i - 1].fallback;
-        if std::iter::successors(Some(start), next).nth(all.len()).is_some() {
-            return Err(format!("pool {}: its fall-backs go round in a circle", all[start - 1].name));
-        }
-    }
-    Ok(all)
-}
-
-/// Reads members, none of which may be among those that are known.
-fn members(
-    text: &str,
-    known: &[SocketAddr],
-    entries: Vec<WorkerEntry>,
-) -> Result<Vec<Member<SocketAddr>>, String> {
-    let mut all: Vec<Member<SocketAddr>> = Vec::new();
-    for entry in entries {
-        let address = *entry.address.get_ref();
-        if known.contains(&address) || all.iter().any(|m| m.address == address) {
-            return Err(line(text, entry.address.span().start, &format!("{address} is named twice")));
-        }
-        let usual = Member::at(address);
-        all.push(Member {
-            weight: within(text, "weight", entry.weight, usual.weight, [0.01, 100.0])?,
-            tier: entry.tier,
-            spare: entry.spare,
-            usage: match entry.usage {
-                Usage::On => Use::On,
-                Usage::Draining => Use::Draining,
-                Usage::Disabled => Use::Disabled,
-            },
-            most_runs: within(text, "most_runs", entry.most_runs, usual.most_runs, [1, 1024])?,
-            ..usual
-        });
-    }
-    Ok(all)
-}
-
-/// A worker of which more is said than where it is.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct WorkerEntry {
-    address: Spanned<SocketAddr>,
-    weight: Option<Spanned<f64>>,
-    #[serde(default)]
-    tier: u32,
-    #[serde(default)]
-    spare: bool,
-    #[serde(default, rename = "use")]
-    usage: Usage,
-    most_runs: Option<Spanned<usize>>,
-}
-
-/// Whether a worker gets runs.
-#[derive(Clone, Copy, Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum Usage {
-    #[default]
-    On,
-    Draining,
-    Disabled,
-}
-
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct CaptureSection {
@@ -256,18 +161,20 @@
     on_damage: OnDamage,
 }
 
-/// Names the line of a place in the text.
-pub(super) fn line(text: &str, at: usize, what: &str) -> String {
-    let line = text.bytes().take(at).filter(|&b| b == b'\n').count() + 1;
-    format!("line {line}: {what}")
-}
-
 impl Operator {
     /// Reads the file's text. Routes name the classes that there are.
     pub fn read(text: &str, classes: &[String]) -> Result<Operator, String> {
         let file: File = toml::from_str(text)
             .map_err(|e| line(text, e.span().map_or(text.len(), |s| s.start), e.message()))?;
         let named = pools(text, file.pool)?;
+        let among_nodes = named.iter().find(|n| n.shared.is_some() || n.sessions.is_some());
+        if let Some(pool) = among_nodes.filter(|_| file.fleet.is_none()) {
+            let what = if pool.shared.is_some() { "share = true" } else { "[pool.affinity]" };
+            return Err(format!(
+                "pool {}: {what} is among the nodes of a [fleet], and there is none",
+                pool.name
+            ));
+        }
         let uwsgi =
             file.uwsgi.map(|section| section.read(text, classes, named)).transpose()?.unwrap_or_default();
         let capture = file.capture.map(|section| section.read(text)).transpose()?;
@@ -277,26 +184,13 @@
     }
 }
 
-/// The value of a key that may be left out, if it is within bounds.
-pub(super) fn within<T: Copy + PartialOrd + std::fmt::Display>(
-    text: &str,
-    key: &str,
-    value: Option<Spanned<T>>,
-    usual: T,
-    [least, most]: [T; 2],
-) -> Result<T, String> {
-    let Some(value) = value else { return Ok(usual) };
-    let given = *value.get_ref();
-    if (least..=most).contains(&given) {
-        return Ok(given);
-    }
-    Err(line(text, value.span().start, &format!("{key} = {given}: it lies from {least} to {most}")))
-}
-
 impl UwsgiSection {
     /// Holds it to what the node's memory can bear.
     fn read(self, text: &str, classes: &[String], named: Vec<Named>) -> Result<Uwsgi, String> {
         let usual = Uwsgi::default();
+        if let Some(at) = labelled(&self.worker) {
+            return Err(line(text, at, "name and zone are for members of a [[pool]]"));
+        }
         let special = members(text, &self.workers, self.worker)?;
         let hour = [1, 3_600_000];
         let mut routes: Vec<Route> = Vec::new();
@@ -413,6 +307,10 @@
             let member = "[[pool.member]]\naddress = \"127.0.0.1:1\"\n";
             format!("[[pool]]\nname = \"{name}\"\n{more}{member}")
         };
+        let affinity = |more: &str| {
+            pool("a", "was = [\"old\"]\n") + &format!("[pool.affinity]\nsession = \"HTTP_X\"\n{more}")
+        };
+        let fleet = "[fleet]\nname = \"rota\"\nbind = \"127.0.0.1:7946\"\n";
         let worker = |more: &str| format!("[uwsgi]\n[[uwsgi.worker]]\naddress = \"127.0.0.1:1\"\n{more}");
         let cases = [
             (String::new(), ""),
@@ -451,6 +349,26 @@
             (worker("most_runs = 0\n"), "line 4: most_runs = 0: it lies from 1 to 1024"),
             (worker("use = \"off\"\n"), "line 4: unknown variant `off`"),
             (worker("wieght = 1\n"), "line 4: unknown field `wieght`"),
+            (worker("name = \"a\"\n"), "line 4: name and zone are for members of a [[pool]]"),
+            (pool("a", "share = true\n"), "pool a: share = true is among the nodes of a [fleet]"),
+            (pool("a", "share = true\nsubset = 4\n") + fleet, ""),
+            (pool("a", "share = true\nsubset = 0\n") + fleet, "line 4: subset = 0: it lies from 1 to 1000"),
+            (pool("a", "subset = 4\n") + fleet, "line 3: pool a: subset is for a pool with share = true"),
+            (affinity(""), "pool a: [pool.affinity] is among the nodes of a [fleet]"),
+            (affinity("") + fleet, ""),
+            (affinity("idle_s = 90\npatience_ms = 0\nlinger_s = 0\n") + fleet, ""),
+            (affinity("idle_s = 1\n") + fleet, "line 8: idle_s = 1: it lies from 60"),
+            (affinity("").replace("HTTP_X", "") + fleet, "line 7: session: the variable that names it"),
+            (
+                affinity("").replacen("was", "subset = 3\nshare = true\nwas", 1) + fleet,
+                "line 8: pool a: its nodes use all",
+            ),
+            (pool("a", "") + "name = \"w\"\nzone = \"west\"\n", ""),
+            (pool("a", "") + "name = \"\"\n", "line 5: name: it has 1 to 64 bytes"),
+            (
+                pool("a", "") + "name = \"w\"\n[[pool.member]]\naddress = \"127.0.0.1:2\"\nname = \"w\"\n",
+                "line 8: the name w is given twice",
+            ),
             (
                 worker("") + "[[uwsgi.worker]]\naddress = \"127.0.0.1:1\"\n",
                 "line 5: 127.0.0.1:1 is named twice",
--- a/node/src/life/reload.rs
+++ b/node/src/life/reload.rs
@@ -5,6 +5,7 @@
 use super::operator::Store;
 use crate::log::log;
 use crate::net::hub::Shared;
+use crate::net::routes::Named;
 use crate::net::versions::Act;
 use serde_json::Value;
 
@@ -80,11 +81,20 @@
         if new.parties.processor.is_some() != hub.borrow().link.address.is_some() {
             return Err("a processor can be neither added nor removed while the node runs".into());
         }
-        if new.parties.pools.iter().map(|p| &p.name).ne(hub.borrow().pools.names().iter()) {
+        let same = |(new, old): (&Named, &String)| new.name == *old || new.was.contains(old);
+        let names = hub.borrow().pools.names();
+        if new.parties.pools.len() != names.len() || !new.parties.pools.iter().zip(&names).all(same) {
             return Err(
                 "pools can be neither added nor removed while the node runs, their members can".into()
             );
         }
+        let parts = |p: &Named| (p.shared.is_some(), p.sessions.is_some());
+        if new.parties.pools.iter().map(parts).ne(hub.borrow().pools.files().map(parts)) {
+            return Err(
+                "share = true and [pool.affinity] can be neither added nor removed while the node runs"
+                    .into(),
+            );
+        }
         hub.borrow().fits(&new.tuning)
     }
 
--- a/node/src/life/versions.rs
+++ b/node/src/life/versions.rs
@@ -1,7 +1,7 @@
 //! `[fleet.versions]` of the operator's file, and what a version holds.
 
 use super::config::Config;
-use super::operator::{line, within};
+use super::text::{line, within};
 use crate::log::log;
 use crate::net::versions::disk::{load, ACTING};
 use crate::net::versions::{usual, Settings};
--- a/node/src/net/fleet.rs
+++ b/node/src/net/fleet.rs
@@ -3,6 +3,8 @@
 use super::clock::Clock;
 use super::hub::Shared;
 use super::nudge::Nudge;
+use super::sessions::Sessions;
+use super::share::{Apart, Sharing};
 use super::versions::{self, Act, Versions};
 use super::{ahead, by};
 use crate::log::log;
@@ -15,8 +17,9 @@
 use pipitlever_fleet::rules::Rules;
 use pipitlever_fleet::standing::Steady;
 use pipitlever_fleet::sync::Session;
-use pipitlever_fleet::Fleet;
+use pipitlever_fleet::{Fleet, Heard};
 use pipitlever_reactor::{Async, Timer};
+use pipitlever_share::node::Times;
 use pipitlever_versions::floor::Saved;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -56,8 +59,23 @@
     pub rules: Rules,
     /// Versions of the settings, if the fleet decides them.
     pub versions: Option<versions::Settings>,
+    /// What a node keeps to of a pool that is shared while it may be cut off.
+    pub apart: Apart,
 }
 
+impl Settings {
+    /// News reaches all within the first, as a rule; what a node had that is gone is nobody's for the second.
+    fn times(&self) -> Times {
+        let hold = 2 * self.rules.probe + 2 * LOOK_MS as i64 * 1000;
+        // From the last word that one that is cut off had of a majority until its lease is over, by any clock.
+        let reserve = self.versions.as_ref().map_or(RESERVE, |v| v.rules.lease + v.rules.lease / 40 + hold);
+        Times { hold, reserve }
+    }
+}
+
+/// What a node had of a pool is nobody's for so long where there are no leases, in microseconds.
+const RESERVE: i64 = 10_000_000;
+
 /// The sockets, which pass from one process of the node to the next.
 pub struct Sockets {
     /// For datagrams.
@@ -110,6 +128,11 @@
     fleet: RefCell<Fleet>,
     /// Versions of the settings, if the fleet decides them.
     pub versions: Option<Versions>,
+    /// Its part of pools that are shared, if any is.
+    pub sharing: Option<Sharing>,
+    apart: Apart,
+    /// Its part in sessions that stay with their workers, if any do.
+    pub affinity: Option<Sessions>,
     steady: RefCell<Steady>,
     clock: Clock,
     hub: Shared,
@@ -143,7 +166,7 @@
 
 /// The version that a member says it acts on.
 fn acting(payload: &[u8]) -> Option<u64> {
-    payload.try_into().ok().map(u64::from_le_bytes)
+    Some(u64::from_le_bytes(payload.get(..8)?.try_into().ok()?))
 }
 
 impl Part {
@@ -159,7 +182,8 @@
     ) -> Result<Rc<Part>, String> {
         let wrong = |e: std::io::Error| format!("fleet: {e}");
         let clock = hub.borrow().clock;
-        let Settings { name: fleet, bind, mut advertise, seeds, zone, rules, versions } = settings;
+        let times = settings.times();
+        let Settings { name: fleet, bind, mut advertise, seeds, zone, rules, versions, apart } = settings;
         let at = sockets.udp.local_addr().map_err(wrong)?;
         if advertise.port() == 0 {
             advertise.set_port(at.port());
@@ -192,9 +216,18 @@
             }
             None => None,
         };
+        let sharing = Sharing::begin(&hub, name, times, now);
+        let sessions = Sessions::begin(&hub, name, RandomState::new().hash_one(now), now);
+        if sessions.is_some() && versions.is_none() {
+            // From here on it hears what is not about the view.
+            decisions.set_hint(Vec::new());
+        }
         let part = Rc::new(Part {
             fleet: RefCell::new(decisions),
             versions,
+            sharing,
+            apart,
+            affinity: sessions,
             steady: RefCell::new(Steady::new(now)),
             clock,
             hub,
@@ -301,8 +334,19 @@
     fn turn<T>(&self, tell: impl FnOnce(&mut Fleet, i64) -> T) -> T {
         let mut fleet = self.fleet.borrow_mut();
         let told = tell(&mut fleet, self.clock.now());
+        let now = self.clock.now();
+        let mut heard = Vec::new();
+        while let Some((from, said)) = fleet.take_heard() {
+            match (&self.affinity, &said) {
+                (Some(sessions), Heard::Said(bytes)) if sessions.heard(now, &from, bytes) => {}
+                _ => heard.push((from, said)),
+            }
+        }
         if let Some(versions) = &self.versions {
-            versions.turn(&mut fleet, self.clock.now());
+            versions.turn(&mut fleet, now, heard);
+        }
+        if let Some(sessions) = &self.affinity {
+            sessions.turn(&mut fleet, now, self.acting());
         }
         let mut unsent = 0;
         let out = fleet.take_out();
@@ -319,7 +363,12 @@
         if fleet.wants_sync() {
             self.dial.give();
         }
-        let next = self.versions.as_ref().map_or(i64::MAX, Versions::due).min(fleet.next_wake());
+        if self.sharing.as_ref().is_some_and(|sharing| sharing.stale(&fleet)) {
+            self.woken.give();
+        }
+        let parts = self.versions.as_ref().map_or(i64::MAX, Versions::due);
+        let parts = self.affinity.as_ref().map_or(parts, |sessions| sessions.due().min(parts));
+        let next = parts.min(fleet.next_wake());
         if next < self.next.replace(next) {
             self.woken.give();
         }
@@ -348,6 +397,44 @@
         }
     }
 
+    /// The version that it acts on; 0 where none are decided.
+    fn acting(&self) -> u64 {
+        self.versions.as_ref().map_or(0, Versions::acting)
+    }
+
+    /// The worker of a session, if any takes it: known here, or told by others in a moment.
+    pub async fn session(&self, pool: usize, key: u64) -> Option<SocketAddr> {
+        let sessions = self.affinity.as_ref()?;
+        let (now, version) = (self.clock.now(), self.acting());
+        match sessions.want(now, version, pool, key) {
+            Ok(at) => {
+                // What it had to say of that goes out with the next turn, which is soon.
+                self.woken.give();
+                at
+            }
+            Err(waiting) => {
+                self.turn(|_, _| ());
+                let found = waiting.receiver.recv().await.ok()?;
+                sessions.came(&waiting, found)
+            }
+        }
+    }
+
+    /// A run could not begin at its session's worker: where it goes instead, if anywhere.
+    pub fn unreachable(&self, pool: usize, key: u64, at: SocketAddr) -> Option<SocketAddr> {
+        let next = self.affinity.as_ref()?.unreachable(self.clock.now(), pool, key, at);
+        self.woken.give();
+        next
+    }
+
+    /// Until when this node's parts of what is shared are nobody else's.
+    fn parts_until(&self) -> i64 {
+        match (self.apart, &self.versions) {
+            (Apart::Least, Some(versions)) => versions.leased_until(),
+            _ => i64::MAX,
+        }
+    }
+
     /// How the node is.
     fn standing(&self) -> Standing {
         let hub = self.hub.borrow();
@@ -386,11 +473,20 @@
     loop {
         let seen = part.standing();
         let standing = part.steady.borrow_mut().see(part.clock.now(), seen);
+        let until = part.parts_until();
         part.turn(|fleet, now| {
-            match &part.versions {
-                Some(versions) => fleet.say(standing, &versions.acting().to_le_bytes()),
-                None => fleet.say(standing, b""),
+            part.sharing.iter().for_each(|sharing| sharing.turn(fleet, now, until));
+            let mut payload = Vec::new();
+            let (sharing, sessions) = (&part.sharing, &part.affinity);
+            if part.versions.is_some() || sharing.is_some() || sessions.is_some() {
+                payload.extend(part.acting().to_le_bytes());
             }
+            if sharing.is_some() || sessions.is_some() {
+                payload.push(sessions.as_ref().map_or(0, Sessions::told));
+            }
+            sharing.iter().for_each(|sharing| payload.extend(sharing.told()));
+            sessions.iter().for_each(|sessions| sessions.look(now));
+            fleet.say(standing, &payload);
             if fleet.next_wake() <= now {
                 fleet.wake(now);
             }
@@ -489,6 +585,12 @@
         if let Some(versions) = &part.versions {
             view["versions"] = versions.view(now);
         }
+        if let Some(sessions) = &part.affinity {
+            view["sessions"] = sessions.view();
+        }
+        if let Some(sharing) = &part.sharing {
+            view["share"] = sharing.view(now);
+        }
         format!("{view}\n")
     })
 }
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -461,6 +461,14 @@
         self.pools.place(self.clock.now(), job, key, tried)
     }
 
+    /// A place for a run at one worker and at no other.
+    pub fn place_at(&mut self, job: &Job, at: SocketAddr, tried: &[(usize, u32)]) -> Option<Put> {
+        if self.pools.in_flight() >= self.sockets / 2 {
+            return None;
+        }
+        self.pools.place_at(self.clock.now(), job, at, tried)
+    }
+
     /// What the process may take; so many connections there may be, of the fronts and to the workers together.
     pub fn bound(&mut self, limits: Limits) {
         self.limits = limits;
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -16,6 +16,8 @@
 pub mod pools;
 pub mod processor;
 pub mod routes;
+pub mod sessions;
+pub mod share;
 pub mod store;
 pub mod versions;
 pub mod workers;
--- a/node/src/net/pools.rs
+++ b/node/src/net/pools.rs
@@ -1,13 +1,16 @@
 //! The pools of workers as the node has them: their names, which takes over for which, the runs that wait for their driver.
 
 use super::nudge::Nudge;
-use super::routes::Named;
+use super::routes::{Label, Named};
 use crate::core::Reference;
 use crate::log::log;
+use crate::wire::uwsgi::variable;
 use pipitlever::Micros;
-use pipitlever_pools::pool::{Ask, End, Place, Pool, Rules, Run};
+use pipitlever_capture::record::digest_bytes as digest;
+use pipitlever_pools::pool::{self, Ask, End, Member, Place, Pool, Rules, Run};
 use pipitlever_pools::retry::{Further, Tried};
-use std::collections::VecDeque;
+use pipitlever_share::plan::Use;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -41,23 +44,74 @@
     pub address: SocketAddr,
 }
 
+/// What a node has of a pool that the nodes of a fleet divide among themselves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Parts {
+    /// Of each worker, by name.
+    pub uses: HashMap<String, Use>,
+    /// Of what goes by load.
+    pub part: f64,
+    /// From then on others may have it: one run for each worker is left.
+    pub until: Micros,
+}
+
+impl Default for Parts {
+    fn default() -> Parts {
+        Parts { uses: HashMap::new(), part: 1.0, until: Micros::MAX }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
-    name: String,
-    /// The pool whose turn it is when nobody of this one can take a run.
-    fallback: Option<usize>,
+    /// As the file has it.
+    file: Named,
+    /// What this node has of it, where the nodes of the fleet divide the pool.
+    parts: Parts,
+    /// Runs that were wanted of it.
+    wanted: u64,
     pool: Pool<SocketAddr>,
 }
 
+/// The members as this node uses them. Where the pool is divided, those that are not (yet) this node's are for when nobody else is
+/// usable, one run each; tiers are kept apart by that.
+fn members(file: &Named, uses: &HashMap<String, Use>) -> Vec<Member<SocketAddr>> {
+    if file.shared.is_none() {
+        return file.members.clone();
+    }
+    let member = |(m, label): (&Member<SocketAddr>, &Label)| {
+        let tier = m.tier.saturating_mul(2);
+        match uses.get(&label.name) {
+            _ if !divided(m) => Member { tier, ..m.clone() },
+            Some(Use { inside: true, weight, most_runs }) => {
+                Member { tier, weight: *weight, most_runs: *most_runs, ..m.clone() }
+            }
+            _ => Member { tier: tier.saturating_add(1), most_runs: 1, ..m.clone() },
+        }
+    };
+    file.members.iter().zip(&file.labels).map(member).collect()
+}
+
+/// Whether a member is one of those that are divided.
+pub fn divided(member: &Member<SocketAddr>) -> bool {
+    !member.spare && member.usage == pool::Use::On
+}
+
 impl Entry {
     /// What it is called in the log.
     fn called(&self) -> String {
-        match self.name.is_empty() {
+        match self.file.name.is_empty() {
             true => "pool".into(),
-            false => format!("pool {}", self.name),
+            false => format!("pool {}", self.file.name),
         }
     }
 
+    /// Others may have what this node had.
+    fn lapse(&mut self, now: Micros) {
+        self.parts.until = Micros::MAX;
+        self.parts.uses.values_mut().for_each(|u| u.most_runs = 1);
+        self.pool.update(members(&self.file, &self.parts.uses), now);
+    }
+
     fn note(&mut self) {
         let notes = self.pool.notes();
         notes.iter().for_each(|note| log(&format!("{}: {note}", self.called())));
@@ -68,6 +122,8 @@
 #[derive(Debug)]
 pub struct Pools {
     all: Vec<Entry>,
+    /// Counts the files that were taken.
+    pub generation: u64,
     /// Runs that the controller has decided on, in order, and their driver's nudge.
     pub jobs: (VecDeque<Job>, Nudge),
 }
@@ -75,12 +131,13 @@
 impl Pools {
     /// These pools.
     pub fn new(named: Vec<Named>, seed: u64, now: Micros) -> Pools {
-        let entry = |Named { name, fallback, members }| Entry {
-            name,
-            fallback,
-            pool: Pool::new(Rules::default(), members, seed, now),
+        let entry = |file: Named| {
+            let parts = Parts::default();
+            let pool = Pool::new(Rules::default(), members(&file, &parts.uses), seed, now);
+            Entry { file, parts, wanted: 0, pool }
         };
-        Pools { all: named.into_iter().map(entry).collect(), jobs: (VecDeque::new(), Nudge::new()) }
+        let jobs = (VecDeque::new(), Nudge::new());
+        Pools { all: named.into_iter().map(entry).collect(), generation: 0, jobs }
     }
 
     /// A run for its driver.
@@ -91,12 +148,41 @@
 
     /// Their members are these from now on. The pools themselves stay.
     pub fn moved(&mut self, named: Vec<Named>, now: Micros) {
+        self.generation += 1;
         for (entry, named) in self.all.iter_mut().zip(named) {
-            entry.fallback = named.fallback;
-            entry.pool.update(named.members, now);
+            entry.file = named;
+            entry.pool.update(members(&entry.file, &entry.parts.uses), now);
         }
     }
 
+    /// The pools as the file has them, by position.
+    pub fn files(&self) -> impl Iterator<Item = &Named> {
+        self.all.iter().map(|e| &e.file)
+    }
+
+    /// This node has this of a pool. Whether what it has of the workers is anything new.
+    pub fn divide(&mut self, now: Micros, pool: usize, parts: Parts) -> bool {
+        let entry = &mut self.all[pool];
+        entry.pool.divide(parts.part);
+        let before = std::mem::replace(&mut entry.parts, parts);
+        if entry.parts.uses == before.uses {
+            return false;
+        }
+        entry.pool.update(members(&entry.file, &entry.parts.uses), now);
+        entry.note();
+        true
+    }
+
+    /// Runs that were wanted of a pool since the last call.
+    pub fn wanted(&mut self, pool: usize) -> u64 {
+        std::mem::take(&mut self.all[pool].wanted)
+    }
+
+    /// A pool itself.
+    pub fn pool(&mut self, pool: usize) -> &mut Pool<SocketAddr> {
+        &mut self.all[pool].pool
+    }
+
     /// A place for a run, in its pool or in those that take over for it. `tried` has the pools and numbers of workers that
     /// it was put to before.
     pub fn place(&mut self, now: Micros, job: &Job, key: Option<u64>, tried: &[(usize, u32)]) -> Option<Put> {
@@ -105,17 +191,50 @@
         for _ in 0..self.all.len() {
             let pool = at?;
             let entry = &mut self.all[pool];
+            entry.wanted += u64::from(tried.is_empty());
+            // A process that was stopped finds requests in its sockets before it hears that it was long gone.
+            if now >= entry.parts.until {
+                entry.lapse(now);
+            }
             let tried: Vec<u32> = tried.iter().filter(|t| t.0 == pool).map(|t| t.1).collect();
             let place = entry.pool.place(now, Ask { safe: job.safe, key, tried: &tried });
             entry.note();
             match place {
                 Place::At { run, member, address } => return Some(Put { pool, run, member, address }),
-                Place::NoRoom | Place::Nobody => at = entry.fallback,
+                Place::NoRoom | Place::Nobody => at = entry.file.fallback,
             }
         }
         None
     }
 
+    /// What a run's packet says of its session, where sessions stay with the workers of its pool.
+    pub fn session(&self, job: &Job) -> Option<u64> {
+        let sessions = self.all[job.pool].file.sessions.as_ref()?;
+        variable(&job.packet, &sessions.variable).filter(|v| !v.is_empty()).map(digest)
+    }
+
+    /// A place for a run at one worker of its pool and at no other.
+    pub fn place_at(
+        &mut self,
+        now: Micros,
+        job: &Job,
+        at: SocketAddr,
+        tried: &[(usize, u32)],
+    ) -> Option<Put> {
+        let entry = &mut self.all[job.pool];
+        entry.wanted += u64::from(tried.is_empty());
+        if now >= entry.parts.until {
+            entry.lapse(now);
+        }
+        let numbers: Vec<u32> = tried.iter().map(|t| t.1).collect();
+        let place = entry.pool.place_at(now, Ask { safe: job.safe, key: None, tried: &numbers }, &at);
+        entry.note();
+        match place {
+            Place::At { run, member, address } => Some(Put { pool: job.pool, run, member, address }),
+            Place::NoRoom | Place::Nobody => None,
+        }
+    }
+
     /// A worker is done with a run, one way or another.
     pub fn ended(&mut self, now: Micros, put: Put, end: End) {
         let entry = &mut self.all[put.pool];
@@ -137,7 +256,7 @@
 
     /// Their names, by position.
     pub fn names(&self) -> Vec<String> {
-        self.all.iter().map(|e| e.name.clone()).collect()
+        self.all.iter().map(|e| e.file.name.clone()).collect()
     }
 
     /// A line for each worker.
--- a/node/src/net/routes.rs
+++ b/node/src/net/routes.rs
@@ -34,8 +34,37 @@
     pub deadline_ms: Option<u64>,
 }
 
+/// What a worker is called, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Label {
+    /// Its name; its address, where the file gives none.
+    pub name: String,
+    /// Its zone; may be empty.
+    pub zone: String,
+}
+
+/// How the nodes of a fleet divide a pool among themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shared {
+    /// About so many of its workers each node uses.
+    pub subset: usize,
+}
+
+/// How long-lived sessions stay with their workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sessions {
+    /// The variable of a request's packet that names its session.
+    pub variable: String,
+    /// A session that nobody wanted for so many seconds is forgotten.
+    pub idle_s: u32,
+    /// A worker that fails keeps its sessions for so long, in microseconds.
+    pub patience: i64,
+    /// One that drains does for so long, in microseconds.
+    pub linger: i64,
+}
+
 /// A pool of workers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Named {
     /// Its name; none for the one of `workers`.
     pub name: String,
@@ -43,6 +72,14 @@
     pub fallback: Option<usize>,
     /// Its members.
     pub members: Vec<Member<SocketAddr>>,
+    /// What each of them is called; none where the pool has no name.
+    pub labels: Vec<Label>,
+    /// Whether the nodes of the fleet divide it among themselves.
+    pub shared: Option<Shared>,
+    /// What it was called before, the oldest first.
+    pub was: Vec<String>,
+    /// Whether sessions stay with its workers.
+    pub sessions: Option<Sessions>,
 }
 
 /// The front, the workers, the routes.
@@ -96,7 +133,8 @@
 
     /// All pools: first that of `workers`, then those with a name.
     pub fn pools(&self) -> Vec<Named> {
-        let first = Named { name: String::new(), fallback: None, members: self.members() };
+        let members = self.members();
+        let first = Named { members, ..Named::default() };
         std::iter::once(first).chain(self.named.iter().cloned()).collect()
     }
 
--- /dev/null
+++ b/node/src/net/sessions.rs
@@ -0,0 +1,224 @@
+//! The node's part in sessions that stay with their workers: requests ask it where theirs lives, and what `pipitlever-affinity` decides
+//! travels in the fleet's datagrams. Only with `[pool.affinity]`.
+
+use super::hub::Shared;
+use super::routes::Named;
+use async_channel::Sender;
+use pipitlever_affinity::message::Message;
+use pipitlever_affinity::node::{Found, Node, Peer, Pool, Server, Settings};
+use pipitlever_affinity::WorkerId;
+use pipitlever_fleet::Fleet;
+use pipitlever_pools::pool::Use;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// A request waits no longer than this for word of its session, in microseconds.
+const WAIT: i64 = 60_000;
+/// Sessions that a node remembers, at the most: they take some 25 bytes each.
+const MOST: usize = 1 << 20;
+
+/// What the view tells of a node: it takes part in this, and it has what it is to remember.
+pub const TAKES_PART: u8 = 1;
+/// As above.
+pub const FILLED: u8 = 2;
+
+/// The part.
+pub struct Sessions {
+    node: RefCell<Node>,
+    /// The pools as they were last read, with each one's place among the hub's.
+    files: RefCell<Vec<(usize, Named)>>,
+    generation: Cell<u64>,
+    seen: Cell<(u64, bool)>,
+    waiting: RefCell<HashMap<u64, Sender<Found>>>,
+    last: Cell<u64>,
+    hub: Shared,
+}
+
+fn files(hub: &Shared) -> Vec<(usize, Named)> {
+    let hub = hub.borrow();
+    let all = hub.pools.files().enumerate().filter(|(_, f)| f.sessions.is_some());
+    all.map(|(i, f)| (i, f.clone())).collect()
+}
+
+fn pool(file: &Named) -> Option<Pool> {
+    let sessions = file.sessions.as_ref()?;
+    let workers = file.members.iter().zip(&file.labels).map(|(m, label)| Server {
+        name: label.name.clone(),
+        weight: m.weight,
+        // Who stands by for others has no sessions of his own.
+        takes: m.usage == Use::On && !m.spare,
+        drains: m.usage == Use::Draining,
+    });
+    let (idle, patience, linger) = (sessions.idle_s, sessions.patience, sessions.linger);
+    Some(Pool {
+        name: file.name.clone(),
+        was: file.was.clone(),
+        workers: workers.collect(),
+        idle,
+        patience,
+        linger,
+    })
+}
+
+impl Sessions {
+    /// Begins, if sessions of any pool stay.
+    pub fn begin(hub: &Shared, name: &str, token: u64, now: i64) -> Option<Sessions> {
+        let files = files(hub);
+        if files.is_empty() {
+            return None;
+        }
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs() as u32);
+        let pools = files.iter().filter_map(|(_, f)| pool(f)).collect();
+        let node = Node::new(name, Settings { wait: WAIT, most: MOST }, pools, unix, token, now);
+        Some(Sessions {
+            node: RefCell::new(node),
+            files: RefCell::new(files),
+            generation: Cell::new(0),
+            seen: Cell::new((0, false)),
+            waiting: RefCell::default(),
+            last: Cell::new(0),
+            hub: hub.clone(),
+        })
+    }
+
+    /// What a member said, if it is about sessions.
+    pub fn heard(&self, now: i64, from: &str, bytes: &[u8]) -> bool {
+        let message = Message::read(bytes);
+        message.inspect(|message| self.node.borrow_mut().heard(now, from, message)).is_some()
+    }
+
+    /// Takes over another version or file, if there is one.
+    fn renew(&self, node: &mut Node, now: i64, version: u64) {
+        let generation = self.hub.try_borrow().map_or(self.generation.get(), |hub| hub.pools.generation);
+        if self.generation.replace(generation) != generation {
+            let files = files(&self.hub);
+            node.set_pools(now, version, files.iter().filter_map(|(_, f)| pool(f)).collect());
+            *self.files.borrow_mut() = files;
+        }
+    }
+
+    /// Does what is due, and says what comes of it.
+    pub fn turn(&self, fleet: &mut Fleet, now: i64, version: u64) {
+        let mut node = self.node.borrow_mut();
+        self.renew(&mut node, now, version);
+        let seen = (fleet.digest(), fleet.settled());
+        if self.seen.replace(seen) != seen {
+            node.view(now, peers(fleet), seen.1);
+        }
+        node.tick(now);
+        for (to, bytes) in node.take_out() {
+            fleet.tell(&to, bytes);
+        }
+        let mut waiting = self.waiting.borrow_mut();
+        for (request, found) in node.take_found() {
+            if let Some(sender) = waiting.remove(&request) {
+                // Whoever waited may have been given up.
+                let _ = sender.try_send(found);
+            }
+        }
+    }
+
+    /// Which workers are left out here.
+    pub fn look(&self, now: i64) {
+        let Ok(mut hub) = self.hub.try_borrow_mut() else { return };
+        let mut node = self.node.borrow_mut();
+        for (i, (pool, file)) in self.files.borrow().iter().enumerate() {
+            let out: Vec<SocketAddr> = hub.pools.pool(*pool).out().copied().collect();
+            let state = &node.pools()[i];
+            let id = |at: &SocketAddr| state.id(file.members.iter().position(|m| m.address == *at)?);
+            let out: Vec<WorkerId> = out.iter().filter_map(id).collect();
+            node.left_out(now, i, &out);
+        }
+    }
+
+    /// When it wants to be woken.
+    pub fn due(&self) -> i64 {
+        self.node.borrow().due()
+    }
+
+    /// Flags that travel with the view.
+    pub fn told(&self) -> u8 {
+        TAKES_PART | if self.node.borrow().filled() { FILLED } else { 0 }
+    }
+
+    fn number(&self, pool: usize) -> Option<usize> {
+        self.files.borrow().iter().position(|(p, _)| *p == pool)
+    }
+
+    /// Begins to look for the worker of a session: it is known, or comes by the channel.
+    pub fn want(&self, now: i64, version: u64, pool: usize, key: u64) -> Result<Option<SocketAddr>, Waiting> {
+        let mut node = self.node.borrow_mut();
+        self.renew(&mut node, now, version);
+        let Some(number) = self.number(pool) else { return Ok(None) };
+        self.last.set(self.last.get() + 1);
+        match node.want(now, number, key, self.last.get()) {
+            Found::Asked => {
+                let (sender, receiver) = async_channel::bounded(1);
+                self.waiting.borrow_mut().insert(self.last.get(), sender);
+                Err(Waiting { number, receiver })
+            }
+            found => Ok(self.address(&node, number, found)),
+        }
+    }
+
+    /// Where a worker is.
+    fn address(&self, node: &Node, number: usize, found: Found) -> Option<SocketAddr> {
+        let Found::At(worker) = found else { return None };
+        let at = node.pools()[number].position(worker)?;
+        self.files.borrow()[number].1.members.get(at).map(|m| m.address)
+    }
+
+    /// What came by the channel.
+    pub fn came(&self, waiting: &Waiting, found: Found) -> Option<SocketAddr> {
+        self.address(&self.node.borrow(), waiting.number, found)
+    }
+
+    /// A run could not begin at a session's worker: where it goes instead, if anywhere.
+    pub fn unreachable(&self, now: i64, pool: usize, key: u64, at: SocketAddr) -> Option<SocketAddr> {
+        let mut node = self.node.borrow_mut();
+        let number = self.number(pool)?;
+        let position = self.files.borrow()[number].1.members.iter().position(|m| m.address == at);
+        let worker = node.pools()[number].id(position?)?;
+        let next = node.unreachable(now, number, key, worker)?;
+        self.address(&node, number, Found::At(next))
+    }
+
+    /// How it stands, for the door.
+    pub fn view(&self) -> Value {
+        let node = self.node.borrow();
+        let pools = node.pools().iter().enumerate().map(|(i, state)| {
+            let m = state.moves;
+            json!({
+                "pool": state.pool.name, "workers": node.counts(i), "placed": m.placed, "moved_removed": m.removed,
+                "moved_failed": m.failed, "moved_unreachable": m.unreachable,
+            })
+        });
+        let (table, pools) = (node.table(), pools.collect::<Vec<_>>());
+        json!({
+            "filled": node.filled(), "remembered": table.len(), "bytes": table.bytes(),
+            "turned_down": table.turned_down, "pools": pools,
+        })
+    }
+}
+
+/// A request that waits for word of its session.
+pub struct Waiting {
+    number: usize,
+    /// Where it comes.
+    pub receiver: async_channel::Receiver<Found>,
+}
+
+/// The others that take part. One that is suspected still does.
+fn peers(fleet: &Fleet) -> Vec<Peer> {
+    let there =
+        fleet.members().iter().filter(|(name, m)| m.record.state.takes_part() && *name != fleet.name());
+    let flags = |payload: &[u8]| payload.get(8).copied().unwrap_or(0);
+    let peer = |(name, m): (&str, &pipitlever_fleet::members::Member)| {
+        let flags = flags(&m.record.details.payload);
+        (flags & TAKES_PART != 0).then(|| Peer { name: name.to_owned(), filled: flags & FILLED != 0 })
+    };
+    there.filter_map(peer).collect()
+}
--- /dev/null
+++ b/node/src/net/share.rs
@@ -0,0 +1,175 @@
+//! The node's part in pools that the nodes of a fleet divide among themselves: the view goes to what `pipitlever-share` decides, and
+//! what comes of it to the pools. Only with `share = true` on a pool.
+
+use super::hub::Shared;
+use super::pools::{divided, Parts};
+use super::routes::Named;
+use crate::log::log;
+use pipitlever_fleet::record::State;
+use pipitlever_fleet::Fleet;
+use pipitlever_share::node::{Member, Node, Pool, Times};
+use pipitlever_share::plan::{Use, Worker};
+use pipitlever_share::told::Told;
+use pipitlever_share::turn::Turn;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// What a node keeps to that may be cut off from the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Apart {
+    /// Its part, no more of it: the other side may have that too by then.
+    #[default]
+    Keep,
+    /// One run for each worker from the moment at which no majority of electors is heard: the sum stays within the bound.
+    Least,
+}
+
+/// What was last handed to a pool of the hub.
+struct Given {
+    /// The pool, by position among the hub's.
+    pool: usize,
+    /// The workers that are divided: names and addresses.
+    workers: Vec<(String, SocketAddr)>,
+}
+
+/// The part.
+pub struct Sharing {
+    node: RefCell<Node>,
+    given: RefCell<Vec<Given>>,
+    files: RefCell<Vec<Named>>,
+    /// The view that was last looked at, and whether this node was cut off then.
+    seen: Cell<(u64, bool)>,
+    hub: Shared,
+}
+
+/// A pool as it is divided.
+fn shared(file: &Named) -> Option<Pool> {
+    let subset = file.shared?.subset;
+    let of = file.members.iter().zip(&file.labels).filter(|(m, _)| divided(m));
+    let worker = |(m, label): (&pipitlever_pools::pool::Member<SocketAddr>, &super::routes::Label)| Worker {
+        name: label.name.clone(),
+        zone: label.zone.clone(),
+        weight: m.weight,
+        tier: m.tier,
+        most_runs: m.most_runs,
+    };
+    Some(Pool { name: file.name.clone(), subset, workers: of.map(worker).collect() })
+}
+
+impl Sharing {
+    /// Begins, if any pool is shared.
+    pub fn begin(hub: &Shared, name: &str, times: Times, now: i64) -> Option<Sharing> {
+        let files: Vec<Named> = hub.borrow().pools.files().cloned().collect();
+        let pools: Vec<Pool> = files.iter().filter_map(shared).collect();
+        if pools.is_empty() {
+            return None;
+        }
+        let names: Vec<&str> = pools.iter().map(|p| &p.name[..]).collect();
+        log(&format!("share: pools={} reserve_ms={}", names.join(","), times.reserve / 1000));
+        let given = RefCell::new(given(&files));
+        let (node, files) = (RefCell::new(Node::new(name, times, pools, now)), RefCell::new(files));
+        Some(Sharing { node, given, files, seen: Cell::new((0, false)), hub: hub.clone() })
+    }
+
+    /// Whether the view has changed since it was last looked at.
+    pub fn stale(&self, fleet: &Fleet) -> bool {
+        fleet.digest() != self.seen.get().0
+    }
+
+    /// Looks at the view, the file and the pools, and hands the pools what is this node's, `until` others may have it.
+    pub fn turn(&self, fleet: &Fleet, now: i64, until: i64) {
+        let alone = until <= now;
+        // A turn may come from within the hub's own; the next one is soon.
+        let Ok(mut hub) = self.hub.try_borrow_mut() else { return };
+        let mut node = self.node.borrow_mut();
+        if hub.pools.files().ne(self.files.borrow().iter()) {
+            let files: Vec<Named> = hub.pools.files().cloned().collect();
+            node.set_pools(now, files.iter().filter_map(shared).collect());
+            *self.given.borrow_mut() = given(&files);
+            *self.files.borrow_mut() = files;
+            self.seen.set((0, alone));
+        }
+        if self.seen.replace((fleet.digest(), alone)) != (fleet.digest(), alone) {
+            node.view(now, members(fleet), alone);
+        }
+        for (i, given) in self.given.borrow().iter().enumerate() {
+            node.count(i, hub.pools.wanted(given.pool));
+            let pool = hub.pools.pool(given.pool);
+            let at = |address: &SocketAddr| given.workers.iter().position(|w| w.1 == *address);
+            let out: Vec<usize> = pool.out().filter_map(at).collect();
+            node.left_out(i, &out);
+            for worker in out {
+                pool.behind(&given.workers[worker].1, node.turn(i, worker) == Turn::Behind);
+            }
+        }
+        for (i, worker) in node.found_well() {
+            let given = &self.given.borrow()[i];
+            hub.pools.pool(given.pool).found_well(now, &given.workers[worker].1);
+        }
+        node.tick(now);
+        for (i, given) in self.given.borrow().iter().enumerate() {
+            let uses = node.uses(now, i);
+            let names = given.workers.iter().map(|w| w.0.clone());
+            let uses: HashMap<String, Use> = names.zip(uses).collect();
+            let inside = uses.values().filter(|u| u.inside).count();
+            let runs: usize = uses.values().filter(|u| u.inside).map(|u| u.most_runs).sum();
+            let (pool, part) = (given.pool, node.part(i));
+            if hub.pools.divide(now, pool, Parts { uses, part, until }) {
+                let name = &self.files.borrow()[pool].name;
+                let all = given.workers.len();
+                log(&format!("share: pool={name} workers={inside} of {all} runs={runs} part={part:.3}"));
+            }
+        }
+    }
+
+    /// What is told with the view.
+    pub fn told(&self) -> Vec<u8> {
+        self.node.borrow().told().write()
+    }
+
+    /// How it stands, for the door.
+    pub fn view(&self, now: i64) -> Value {
+        let mut node = self.node.borrow_mut();
+        let given = self.given.borrow();
+        let pools = given.iter().enumerate().map(|(i, given)| {
+            let uses = node.uses(now, i);
+            let worker = |((name, address), u): (&(String, SocketAddr), Use)| {
+                let address = address.to_string();
+                json!({"name": name, "address": address, "used": u.inside, "weight": u.weight, "most_runs": u.most_runs})
+            };
+            let workers: Vec<Value> = given.workers.iter().zip(uses).map(worker).collect();
+            let name = &self.files.borrow()[given.pool].name;
+            json!({"pool": name, "part": node.part(i), "workers": workers})
+        });
+        json!(pools.collect::<Vec<_>>())
+    }
+}
+
+fn given(files: &[Named]) -> Vec<Given> {
+    let of = |(pool, file): (usize, &Named)| {
+        file.shared?;
+        let workers = file.members.iter().zip(&file.labels).filter(|(m, _)| divided(m));
+        let workers = workers.map(|(m, label)| (label.name.clone(), m.address)).collect();
+        Some(Given { pool, workers })
+    };
+    files.iter().enumerate().filter_map(of).collect()
+}
+
+/// The members, by name. Who has left has no part; who is down has, for a while.
+fn members(fleet: &Fleet) -> Vec<Member> {
+    let there = fleet.members().iter().filter(|(_, m)| !m.fading && m.record.state != State::Left);
+    let member = |(name, m): (&str, &pipitlever_fleet::members::Member)| Member {
+        name: name.to_owned(),
+        zone: m.record.details.zone.clone(),
+        told: told(&m.record.details.payload),
+        down: (m.record.state == State::Down).then_some(m.since),
+    };
+    there.map(member).collect()
+}
+
+/// What a member tells of its part: what stands behind the version that it acts on, and its flags.
+fn told(payload: &[u8]) -> Option<Told> {
+    Told::read(payload.get(9..)?)
+}
--- a/node/src/net/versions/mod.rs
+++ b/node/src/net/versions/mod.rs
@@ -80,9 +80,9 @@
     }
 
     /// Takes in what members have said, does what is due, and says what comes of it.
-    pub fn turn(&self, fleet: &mut Fleet, now: i64) {
+    pub fn turn(&self, fleet: &mut Fleet, now: i64, heard: Vec<(String, Heard)>) {
         let mut node = self.node.borrow_mut();
-        while let Some((from, heard)) = fleet.take_heard() {
+        for (from, heard) in heard {
             match heard {
                 Heard::Hint(bytes) => {
                     if let Some(hint) = Hint::read(&bytes) {
@@ -250,6 +250,11 @@
         (true, format!("the floor is {number}\n"))
     }
 
+    /// Until when a majority of electors is known to have been heard.
+    pub fn leased_until(&self) -> i64 {
+        self.node.borrow().leased_until().unwrap_or(i64::MIN)
+    }
+
     /// How it stands, for the door.
     pub fn view(&self, now: i64) -> Value {
         let node = self.node.borrow();
--- a/node/src/net/workers.rs
+++ b/node/src/net/workers.rs
@@ -37,11 +37,21 @@
     };
     // A key in the packet is the same in all tries of a request, whichever front they came by.
     let key = variable(&job.packet, "HTTP_IDEMPOTENCY_KEY").filter(|_| job.sticky).map(digest);
+    // Where sessions stay with their workers there is one place for it, and no other.
+    let session = hub.borrow().pools.session(&job);
+    let part = hub.borrow().callers.fleet.clone().filter(|_| session.is_some());
+    let mut home = match (session, &part) {
+        (Some(session), Some(part)) => Some(part.session(job.pool, session).await),
+        _ => None,
+    };
     let mut tried = Vec::new();
     // Whether any worker may have acted on it.
     let mut ran = false;
     let response = loop {
-        let put = hub.borrow_mut().place(&job, key, &tried);
+        let put = match home {
+            None => hub.borrow_mut().place(&job, key, &tried),
+            Some(at) => at.and_then(|at| hub.borrow_mut().place_at(&job, at, &tried)),
+        };
         let Some(put) = put else { break None };
         tried.push((put.pool, put.member));
         let mut sent = false;
@@ -62,7 +72,12 @@
         };
         match (outcome.flatten(), again) {
             (Some(response), _) => break Some(response),
+            // What may have run there is of that worker alone.
+            (None, Some(_)) if home.is_some() && ran => break None,
             (None, Some(pause)) => {
+                if let (Some(session), Some(part), Some(_)) = (session, &part, home) {
+                    home = Some(part.unreachable(job.pool, session, put.address));
+                }
                 Timer::at(Instant::now() + Duration::from_micros(pause as u64)).await;
             }
             (None, None) => break None,
--- a/pools/src/health.rs
+++ b/pools/src/health.rs
@@ -107,6 +107,8 @@
     runs: f64,
     times: u32,
     last_out: Micros,
+    /// Others may try it before this one does; once each time that it is out.
+    waited: bool,
 }
 
 /// What each run leaves of those before it.
@@ -124,6 +126,7 @@
             runs: 0.0,
             times: 0,
             last_out: Micros::MIN / 2,
+            waited: false,
         }
     }
 
@@ -141,6 +144,32 @@
         (self.state, self.since) = (state, now);
     }
 
+    /// Another one is to try it first: it stays out as long again, once, in case that one doesn't. Whether it does.
+    pub fn put_off(&mut self, now: Micros) -> bool {
+        match self.state {
+            State::Out { until, why } if now >= until && !self.waited => {
+                self.waited = true;
+                self.state =
+                    State::Out { until: now + (until - self.since).clamp(0, self.rules.longest), why };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Somebody else has found it well: half of what is left of its time is enough. Whether it is out.
+    pub fn sooner(&mut self, now: Micros) -> bool {
+        match self.state {
+            State::Out { until, why } => {
+                self.state = State::Out { until: now + (until - now).max(0) / 2, why };
+                // Nobody is waited for any more.
+                self.waited = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Time passes. Whether it came on trial or is wholly back.
     pub fn tick(&mut self, now: Micros) -> bool {
         match self.state {
@@ -221,6 +250,7 @@
         let out = self.rules.out.saturating_mul(1 << self.times.min(20)).min(self.rules.longest);
         self.times += 1;
         self.last_out = now;
+        self.waited = false;
         (self.in_a_row, self.failures, self.runs) = (0, 0.0, 0.0);
         self.enter(now, State::Out { until: now + out, why });
     }
@@ -230,6 +260,19 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn whose_turn_is_later_waits_as_long_again_and_a_word_halves_it() {
+        let mut health = health();
+        health.take_out(0, Why::InARow(5));
+        let out = Rules::default().out;
+        assert!(!health.put_off(out - 1) && health.put_off(out), "at the end of its time");
+        assert!(!health.tick(out) && !health.put_off(2 * out) && health.tick(2 * out), "once");
+        health.take_out(10 * out, Why::Trial);
+        assert!(health.sooner(10 * out));
+        assert!(!health.tick(11 * out - 1) && !health.put_off(11 * out) && health.tick(11 * out));
+        assert!(!health.sooner(11 * out));
+    }
+
     fn health() -> Health {
         Health::new(Rules::default(), 0)
     }
--- a/pools/src/limit.rs
+++ b/pools/src/limit.rs
@@ -53,19 +53,23 @@
     /// A limit that never exceeds `most`.
     pub fn new(rules: Rules, most: usize) -> Limit {
         let most = most.max(1) as f64;
-        let (limit, window) = (rules.first.min(most), Window::default());
+        let (limit, window) = (rules.first, Window::default());
         Limit { rules, most, limit, rest: None, window, from: Micros::MIN, found: false }
     }
 
+    /// What was learned, within the bound.
+    fn limit(&self) -> f64 {
+        self.limit.min(self.most)
+    }
+
     /// Runs that there may be.
     pub fn runs(&self) -> usize {
-        self.limit.max(1.0) as usize
+        self.limit().max(1.0) as usize
     }
 
-    /// Another bound holds from now on.
+    /// Another bound holds from now on. What was learned stays: a bound that falls for a moment says nothing of the server.
     pub fn bound(&mut self, most: usize) {
         self.most = most.max(1) as f64;
-        self.limit = self.limit.min(self.most);
     }
 
     /// A run that began at `since` went well; with it, so many were under way.
@@ -73,18 +77,19 @@
         if since < self.from {
             return;
         }
+        let limit = self.limit();
         self.window.sum += (now - since).max(1) as f64;
         self.window.count += 1;
         self.window.crowd = self.window.crowd.max(in_flight);
-        if f64::from(self.window.count) < self.limit.max(f64::from(self.rules.runs)) {
+        if f64::from(self.window.count) < limit.max(f64::from(self.rules.runs)) {
             return;
         }
         let Window { sum, count, crowd } = std::mem::take(&mut self.window);
         let (mean, crowd) = (sum / f64::from(count), crowd as f64);
         // A server that has become slower for good shows that in runs that have room: those of a full one would make any
         // crowd look like rest.
-        let room = crowd <= 1.0 || crowd * 2.0 <= self.limit;
-        let at_least = self.limit <= self.rules.least.min(self.most);
+        let room = crowd <= 1.0 || crowd * 2.0 <= limit;
+        let at_least = limit <= self.rules.least.min(self.most);
         let rest = self.rest.unwrap_or(mean);
         let part = match mean < rest {
             true => 0.2,
@@ -94,11 +99,11 @@
         let rest = rest + (mean - rest) * part;
         self.rest = Some(rest);
         if mean > rest * self.rules.tolerance {
-            self.limit = (self.limit * self.rules.decrease).max(self.rules.least.min(self.most));
+            self.limit = (limit * self.rules.decrease).max(self.rules.least.min(self.most));
             (self.from, self.found) = (now, true);
-        } else if crowd + 1.0 >= self.limit {
-            let more = if self.found { 1.0 } else { self.limit / 2.0 };
-            self.limit = (self.limit + more).min(self.most);
+        } else if crowd + 1.0 >= limit && limit < self.most {
+            let more = if self.found { 1.0 } else { limit / 2.0 };
+            self.limit = (limit + more).min(self.most);
         }
     }
 }
@@ -140,6 +145,17 @@
         assert!(before >= 16 && fallen < before && after >= 12, "{before} {fallen} {after}");
     }
 
+    #[test]
+    fn a_bound_that_falls_and_comes_back_leaves_what_was_learned() {
+        let mut limit = Limit::new(Rules::default(), 64);
+        let before = play(&mut limit, 64.0, 10_000.0, &mut 0, 2000);
+        limit.bound(1);
+        assert_eq!(limit.runs(), 1);
+        (0..100).for_each(|i| limit.went_well(i * 10_000, i * 10_000 - 5_000, 1));
+        limit.bound(64);
+        assert_eq!(limit.runs(), before);
+    }
+
     #[test]
     fn it_grows_only_where_it_is_used() {
         let mut limit = Limit::new(Rules::default(), 1000);
--- a/pools/src/pool.rs
+++ b/pools/src/pool.rs
@@ -175,6 +175,8 @@
     runs: BTreeSet<(Micros, Run)>,
     /// The operator has taken it out of the file: it finishes what it has.
     gone: bool,
+    /// It is out, and another node tries it before this one does.
+    behind: bool,
 }
 
 impl<A> Server<A> {
@@ -284,6 +286,7 @@
             seen: Micros::MIN / 2,
             runs: BTreeSet::new(),
             gone: false,
+            behind: false,
         });
     }
 
@@ -368,6 +371,9 @@
         if now >= self.next_tick {
             for server in &mut self.servers {
                 let address = || server.settings.address.clone();
+                if server.behind && server.health.put_off(now) {
+                    continue;
+                }
                 if server.health.tick(now) && matches!(server.health.state(), State::Trial { .. }) {
                     self.notes.push(Note::OnTrial(address()));
                 }
@@ -507,6 +513,21 @@
         }
     }
 
+    /// A place at one member alone, whether it is left out or not: for what can't be anywhere else.
+    pub fn place_at(&mut self, now: Micros, ask: Ask, address: &A) -> Place<A> {
+        if ask.tried.is_empty() {
+            self.budget.first();
+        }
+        self.tick(now);
+        let there = |s: &Server<A>| !s.gone && s.settings.address == *address;
+        match self.servers.iter().position(there) {
+            Some(i) if ask.tried.contains(&self.servers[i].number) => Place::Nobody,
+            Some(i) if self.room(i) => self.put(now, i),
+            Some(_) => Place::NoRoom,
+            None => Place::Nobody,
+        }
+    }
+
     /// The member that a key belongs to, or the next one in its order that is not crowded.
     fn sticky(&self, now: Micros, key: u64, tried: &[u32]) -> Option<usize> {
         let runs = self.runs.len();
@@ -570,6 +591,30 @@
         self.tick(now);
     }
 
+    /// Members that are left out, or on trial.
+    pub fn out(&self) -> impl Iterator<Item = &A> {
+        let out = |s: &&Server<A>| matches!(s.health.state(), State::Out { .. } | State::Trial { .. });
+        self.servers.iter().filter(|s| !s.gone).filter(out).map(|s| &s.settings.address)
+    }
+
+    /// Whether another node tries a member first that is left out.
+    pub fn behind(&mut self, address: &A, behind: bool) {
+        self.servers.iter_mut().filter(|s| s.settings.address == *address).for_each(|s| s.behind = behind);
+    }
+
+    /// Another node has found a member to be well: it is tried sooner here.
+    pub fn found_well(&mut self, now: Micros, address: &A) {
+        let server = self.servers.iter_mut().find(|s| s.settings.address == *address);
+        if server.is_some_and(|s| s.health.sooner(now)) {
+            self.arrange(now);
+        }
+    }
+
+    /// From now on so much of the budget of repeats is this node's.
+    pub fn divide(&mut self, part: f64) {
+        self.budget.divide(part);
+    }
+
     /// How long to wait before a further try of a request, if it may have one.
     pub fn again(&mut self, now: Micros, further: Further) -> Option<Micros> {
         self.budget.again(now, further, &mut self.rng)
--- a/pools/src/retry.rs
+++ b/pools/src/retry.rs
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     rules: Rules,
+    /// What of the pool's budget is this node's: the floor and what may be saved up are divided, the share goes by itself.
+    part: f64,
     tokens: f64,
     filled: Micros,
 }
@@ -61,12 +63,22 @@
 impl Budget {
     /// A full one.
     pub fn new(rules: Rules, now: Micros) -> Budget {
-        Budget { rules, tokens: rules.most, filled: now }
+        Budget { rules, part: 1.0, tokens: rules.most, filled: now }
+    }
+
+    /// From now on so much of the budget is this node's; one repeat may always be saved up.
+    pub fn divide(&mut self, part: f64) {
+        self.part = part.clamp(0.0, 1.0);
+        self.tokens = self.tokens.min(self.most());
+    }
+
+    fn most(&self) -> f64 {
+        (self.rules.most * self.part).max(1.0)
     }
 
     /// A first try was made.
     pub fn first(&mut self) {
-        self.tokens = (self.tokens + self.rules.share).min(self.rules.most);
+        self.tokens = (self.tokens + self.rules.share).min(self.most());
     }
 
     /// How long to wait before the next try of a request that has had so many, if it may have another: it provably never
@@ -78,7 +90,7 @@
         }
         let seconds = (now - self.filled).max(0) as f64 / 1e6;
         self.filled = self.filled.max(now);
-        self.tokens = (self.tokens + seconds * self.rules.floor).min(self.rules.most);
+        self.tokens = (self.tokens + seconds * self.rules.floor * self.part).min(self.most());
         let bound = self.rules.pause.saturating_mul(1 << tries.saturating_sub(1).min(20));
         // Full jitter: those that failed together don't come back together.
         let pause = rng.random_range(0..=bound.min(self.rules.longest).max(0));
@@ -96,6 +108,28 @@
     use crate::SECOND;
     use rand::SeedableRng;
 
+    #[test]
+    fn nodes_that_divide_a_budget_have_no_more_than_it_together() {
+        let mut rng = SmallRng::seed_from_u64(1);
+        // A minute in which every try fails, a first one each second for each of ten nodes.
+        let mut repeats = |nodes: usize| {
+            let mut all = vec![Budget::new(Rules::default(), 0); nodes];
+            all.iter_mut().for_each(|b| b.divide(1.0 / nodes as f64));
+            let mut count = 0;
+            for t in 1..=60 {
+                for budget in &mut all {
+                    (0..10 / nodes).for_each(|_| budget.first());
+                    while budget.again(t * SECOND, further((t + 1) * SECOND, 1), &mut rng).is_some() {
+                        count += 1;
+                    }
+                }
+            }
+            count
+        };
+        let (one, ten) = (repeats(1), repeats(10));
+        assert!((ten as f64) <= one as f64 * 1.1, "{one} {ten}");
+    }
+
     fn further(until: Micros, tries: u32) -> Further {
         Further { until, tried: Tried::NeverRan, safe: true, tries }
     }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod parties;
 pub mod processes;
 pub mod relay;
+pub mod sessions;
 pub mod sim;
--- /dev/null
+++ b/rig/src/sessions.rs
@@ -0,0 +1,333 @@
+//! Many nodes' parts in sessions that stay, under a virtual clock: with messages that are lost, late or come twice, nodes that come and
+//! go, halves that don't hear each other, and versions that each node takes at its own time. The same seed gives the same.
+
+use fastrand::Rng;
+use pipitlever_affinity::message::Message;
+use pipitlever_affinity::node::{Found, Node, Peer, Pool, Server, Settings};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// Microseconds.
+pub type Micros = i64;
+const S: Micros = 1_000_000;
+
+/// What happens to messages and news.
+#[derive(Clone, Copy, Debug)]
+pub struct Ways {
+    /// So many messages of a hundred are lost.
+    pub loss: f64,
+    /// So many come twice.
+    pub twice: f64,
+    /// They take up to so long.
+    pub delay: Micros,
+    /// News of members and versions takes up to so long to each node.
+    pub news: Micros,
+}
+
+enum Event {
+    /// A message, from one node to another.
+    Said(usize, usize, Vec<u8>),
+    /// A node looks at its clock.
+    Wake(usize),
+    /// A node hears who is there.
+    View(usize),
+    /// A node takes a version.
+    Take(usize, u64),
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    /// Its worker, by number in the version that its node acts on; and how long it waited.
+    To(u32, Micros),
+    /// To nobody.
+    Nowhere,
+}
+
+/// The nodes and what is between them.
+pub struct World {
+    /// The time.
+    pub now: Micros,
+    ways: Ways,
+    rng: Rng,
+    nodes: Vec<Option<Node>>,
+    /// The version that each node acts on.
+    acting: Vec<u64>,
+    /// Nodes of two groups don't hear each other.
+    groups: Vec<usize>,
+    versions: Vec<Pool>,
+    events: BinaryHeap<Reverse<(Micros, u64)>>,
+    held: BTreeMap<u64, Event>,
+    wakes: Vec<Micros>,
+    /// What each tells with the view: that it has what it is to remember.
+    filled: Vec<bool>,
+    sequence: u64,
+    started: u64,
+    next_request: u64,
+    /// Bytes that were sent.
+    pub sent: u64,
+}
+
+/// A pool of these workers, each with its name, weight, and whether it takes sessions.
+pub fn pool(workers: &[(u32, f64, bool)], patience: Micros) -> Pool {
+    let server = |(name, weight, takes): &(u32, f64, bool)| Server {
+        name: format!("w{name}"),
+        weight: *weight,
+        takes: *takes,
+        drains: !takes,
+    };
+    let workers = workers.iter().map(server).collect();
+    Pool { name: "p".into(), was: Vec::new(), workers, idle: 36 * 3600, patience, linger: 36 * 3600 * S }
+}
+
+impl World {
+    /// So many nodes, that all start now with this version.
+    pub fn new(nodes: usize, first: Pool, ways: Ways, seed: u64) -> World {
+        let mut world = World {
+            now: 0,
+            ways,
+            rng: Rng::with_seed(seed),
+            nodes: (0..nodes).map(|_| None).collect(),
+            acting: vec![0; nodes],
+            groups: vec![0; nodes],
+            versions: vec![first],
+            events: BinaryHeap::new(),
+            held: BTreeMap::new(),
+            wakes: vec![Micros::MAX; nodes],
+            filled: vec![false; nodes],
+            sequence: 0,
+            started: 0,
+            next_request: 0,
+            sent: 0,
+        };
+        (0..nodes).for_each(|i| world.start(i));
+        world
+    }
+
+    fn at(&mut self, time: Micros, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((time, self.sequence)));
+        self.held.insert(self.sequence, event);
+    }
+
+    /// A node starts, and knows nothing. The others hear of it.
+    pub fn start(&mut self, i: usize) {
+        self.started += 1;
+        let version = self.versions.len() as u64 - 1;
+        let settings = Settings { wait: 50_000, most: 4_000_000 };
+        let pools = vec![self.versions[version as usize].clone()];
+        let mut node = Node::new(&format!("n{i}"), settings, Vec::new(), 1_000, self.started, self.now);
+        node.set_pools(self.now, version, pools);
+        self.nodes[i] = Some(node);
+        self.filled[i] = false;
+        self.acting[i] = version;
+        self.news();
+    }
+
+    /// A node dies with what it knew.
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i] = None;
+        self.news();
+    }
+
+    /// The nodes are in these groups from now on, or in one.
+    pub fn split(&mut self, group: impl Fn(usize) -> usize) {
+        (0..self.nodes.len()).for_each(|i| self.groups[i] = group(i));
+        self.news();
+    }
+
+    /// All hear who is there, each at its own time.
+    fn news(&mut self) {
+        for i in 0..self.nodes.len() {
+            let time = self.now + self.rng.i64(0..=self.ways.news);
+            self.at(time, Event::View(i));
+        }
+    }
+
+    /// A version, which all take, each at its own time.
+    pub fn publish(&mut self, pool: Pool) {
+        self.publish_to(pool, |_| true);
+    }
+
+    /// A version that reaches some alone.
+    pub fn publish_to(&mut self, pool: Pool, to: impl Fn(usize) -> bool) {
+        self.versions.push(pool);
+        let version = self.versions.len() as u64 - 1;
+        for i in (0..self.nodes.len()).filter(|i| to(*i)) {
+            let time = self.now + self.rng.i64(0..=self.ways.news);
+            self.at(time, Event::Take(i, version));
+        }
+    }
+
+    /// There are so many nodes: those beyond the ones that were start now, all at once.
+    pub fn grow(&mut self, nodes: usize) {
+        let before = self.nodes.len();
+        self.nodes.resize_with(nodes, || None);
+        self.acting.resize(nodes, 0);
+        self.groups.resize(nodes, 0);
+        self.wakes.resize(nodes, Micros::MAX);
+        self.filled.resize(nodes, false);
+        (before..nodes).for_each(|i| self.start(i));
+    }
+
+    /// How many nodes there are, those that are not running too.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// These workers fail, or none does, as all nodes find at once.
+    pub fn fail(&mut self, workers: &[u32]) {
+        let now = self.now;
+        for node in self.nodes.iter_mut().flatten() {
+            let state = &node.pools()[0];
+            let at = |w: &u32| state.pool.workers.iter().position(|s| s.name == format!("w{w}"));
+            let out: Vec<u32> = workers.iter().filter_map(|w| state.id(at(w)?)).collect();
+            node.left_out(now, 0, &out);
+        }
+    }
+
+    /// Whether a node is there, and takes clients with sessions.
+    pub fn there(&self, i: usize) -> bool {
+        self.nodes[i].as_ref().is_some_and(Node::ready)
+    }
+
+    /// The version that a node acts on.
+    pub fn acting(&self, i: usize) -> u64 {
+        self.acting[i]
+    }
+
+    /// What each node holds of a session, for whoever looks for a fault.
+    pub fn held(&self, key: u64) -> Vec<String> {
+        let held = |(i, n): (usize, &Option<Node>)| {
+            let placement = n.as_ref().and_then(|n| n.placement(self.now, 0, key));
+            placement.map(|p| format!("n{i}: {p:?}"))
+        };
+        self.nodes.iter().enumerate().filter_map(held).collect()
+    }
+
+    /// Whether all have what they are to remember.
+    pub fn filled(&self) -> bool {
+        self.nodes.iter().flatten().all(Node::filled)
+    }
+
+    /// The most that a node remembers, and what all of them take.
+    pub fn memory(&self) -> (usize, usize) {
+        let tables = || self.nodes.iter().flatten().map(Node::table);
+        (tables().map(|t| t.len()).max().unwrap_or_default(), tables().map(|t| t.bytes()).sum())
+    }
+
+    /// Does all that is due by then.
+    pub fn run_until(&mut self, until: Micros) {
+        while let Some(Reverse((time, sequence))) =
+            self.events.peek().copied().filter(|Reverse((t, _))| *t <= until)
+        {
+            self.events.pop();
+            let Some(event) = self.held.remove(&sequence) else { continue };
+            self.now = self.now.max(time);
+            self.happen(event);
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        let i = match event {
+            Event::Said(from, to, bytes) => {
+                // Those who have been parted since don't hear it.
+                if self.groups[from] == self.groups[to] {
+                    if let (Some(node), Some(message)) = (&mut self.nodes[to], Message::read(&bytes)) {
+                        node.heard(now, &format!("n{from}"), &message);
+                    }
+                }
+                to
+            }
+            Event::Wake(i) => {
+                if self.wakes[i] > now {
+                    return;
+                }
+                self.wakes[i] = Micros::MAX;
+                if let Some(node) = &mut self.nodes[i] {
+                    node.tick(now);
+                }
+                i
+            }
+            Event::View(i) => {
+                let here = |j: &usize| *j != i && self.groups[*j] == self.groups[i];
+                let peer = |j: usize| {
+                    self.nodes[j].as_ref().map(|_| Peer { name: format!("n{j}"), filled: self.filled[j] })
+                };
+                let peers: Vec<Peer> = (0..self.nodes.len()).filter(here).filter_map(peer).collect();
+                if let Some(node) = &mut self.nodes[i] {
+                    node.view(now, peers, true);
+                }
+                i
+            }
+            Event::Take(i, version) => {
+                if version > self.acting[i] {
+                    if let Some(node) = &mut self.nodes[i] {
+                        self.acting[i] = version;
+                        node.set_pools(now, version, vec![self.versions[version as usize].clone()]);
+                    }
+                }
+                i
+            }
+        };
+        self.carry(i);
+    }
+
+    /// Carries what a node has to say, and wakes it in time.
+    fn carry(&mut self, i: usize) {
+        let Some(node) = &mut self.nodes[i] else { return };
+        let out = node.take_out();
+        let due = node.due().max(self.now + 1);
+        let news = std::mem::replace(&mut self.filled[i], node.filled()) != node.filled();
+        for (to, bytes) in out {
+            self.sent += bytes.len() as u64;
+            let to: usize = to[1..].parse().expect("a node's number");
+            let times = 1 + usize::from(self.rng.f64() * 100.0 < self.ways.twice);
+            for _ in 0..times {
+                if self.rng.f64() * 100.0 >= self.ways.loss {
+                    let time = self.now + self.rng.i64(1..=self.ways.delay.max(1));
+                    self.at(time, Event::Said(i, to, bytes.clone()));
+                }
+            }
+        }
+        if due < self.wakes[i] {
+            self.wakes[i] = due;
+            self.at(due, Event::Wake(i));
+        }
+        if news {
+            // That it is a home now travels with the view.
+            self.news();
+        }
+    }
+
+    /// A request of a session comes to a node: where it goes.
+    pub fn ask(&mut self, i: usize, key: u64) -> Came {
+        self.next_request += 1;
+        let (start, request) = (self.now, self.next_request);
+        let Some(node) = &mut self.nodes[i] else { return Came::Nowhere };
+        let mut found = node.want(start, 0, key, request);
+        while found == Found::Asked {
+            self.carry(i);
+            let next = self.events.peek().map_or(self.now + S, |Reverse((t, _))| *t);
+            self.run_until(next);
+            let Some(node) = &mut self.nodes[i] else { return Came::Nowhere };
+            // Others that wait would be told by the same; here there is one at a time.
+            if let Some((_, said)) = node.take_found().into_iter().find(|(r, _)| *r == request) {
+                found = said;
+            }
+        }
+        self.carry(i);
+        let Some(node) = &self.nodes[i] else { return Came::Nowhere };
+        match found {
+            Found::At(worker) => {
+                let state = &node.pools()[0];
+                let at = state.position(worker).expect("it is in the file");
+                let number = state.pool.workers[at].name[1..].parse().expect("a worker's number");
+                Came::To(number, self.now - start)
+            }
+            Found::Asked | Found::Nowhere => Came::Nowhere,
+        }
+    }
+}
