Prove sessions on five processes, and move none from a worker that is only slow

Where a worker goes, in a fleet that is cut in two, its sessions alone move, and a second after the heal nobody does; where one breaks down each of its sessions moves once, and all nodes say the same.

Seen on the way: `pool counters: member=... out for_ms=2000 why: 4.7 times slower than its pool`, then `sessions: moved: failed=47` at that node alone: what the pool leaves out for being slow is well, so sessions go by failures alone (Pool::failing). The parts of a process that stood still count for nothing until it has looked again (`until` in net/share.rs): under a loaded machine a bound of 10 saw 14 after SIGCONT.

--- a/node/src/net/fleet.rs
+++ b/node/src/net/fleet.rs
@@ -485,7 +485,10 @@
                 payload.push(sessions.as_ref().map_or(0, Sessions::told));
             }
             sharing.iter().for_each(|sharing| payload.extend(sharing.told()));
-            sessions.iter().for_each(|sessions| sessions.look(now));
+            if let Some(sessions) = sessions {
+                sessions.look(now);
+                sessions.note(now);
+            }
             fleet.say(standing, &payload);
             if fleet.next_wake() <= now {
                 fleet.wake(now);
--- a/node/src/net/sessions.rs
+++ b/node/src/net/sessions.rs
@@ -3,9 +3,10 @@
 
 use super::hub::Shared;
 use super::routes::Named;
+use crate::log::log;
 use async_channel::Sender;
 use pipitlever_affinity::message::Message;
-use pipitlever_affinity::node::{Found, Node, Peer, Pool, Server, Settings};
+use pipitlever_affinity::node::{Found, Moves, Node, Peer, Pool, Server, Settings};
 use pipitlever_affinity::WorkerId;
 use pipitlever_fleet::Fleet;
 use pipitlever_pools::pool::Use;
@@ -17,6 +18,8 @@
 
 /// A request waits no longer than this for word of its session, in microseconds.
 const WAIT: i64 = 60_000;
+/// Moves are named in the log so often at most, in microseconds.
+const NOTED: i64 = 1_000_000;
 /// Sessions that a node remembers, at the most: they take some 25 bytes each.
 const MOST: usize = 1 << 20;
 
@@ -33,6 +36,8 @@
     generation: Cell<u64>,
     seen: Cell<(u64, bool)>,
     waiting: RefCell<HashMap<u64, Sender<Found>>>,
+    /// Moves as they were last told of in the log, and when.
+    told: RefCell<(Vec<Moves>, i64)>,
     last: Cell<u64>,
     hub: Shared,
 }
@@ -79,6 +84,7 @@
             generation: Cell::new(0),
             seen: Cell::new((0, false)),
             waiting: RefCell::default(),
+            told: RefCell::default(),
             last: Cell::new(0),
             hub: hub.clone(),
         })
@@ -121,12 +127,12 @@
         }
     }
 
-    /// Which workers are left out here.
+    /// Which workers fail here. One that is slow keeps its sessions.
     pub fn look(&self, now: i64) {
         let Ok(mut hub) = self.hub.try_borrow_mut() else { return };
         let mut node = self.node.borrow_mut();
         for (i, (pool, file)) in self.files.borrow().iter().enumerate() {
-            let out: Vec<SocketAddr> = hub.pools.pool(*pool).out().copied().collect();
+            let out: Vec<SocketAddr> = hub.pools.pool(*pool).failing().copied().collect();
             let state = &node.pools()[i];
             let id = |at: &SocketAddr| state.id(file.members.iter().position(|m| m.address == *at)?);
             let out: Vec<WorkerId> = out.iter().filter_map(id).collect();
@@ -134,6 +140,30 @@
         }
     }
 
+    /// Says in the log what has moved since it last did, and why; a line a second at the most.
+    pub fn note(&self, now: i64) {
+        let node = self.node.borrow();
+        let mut told = self.told.borrow_mut();
+        let moves: Vec<Moves> = node.pools().iter().map(|p| p.moves).collect();
+        if now < told.1 + NOTED {
+            return;
+        }
+        for (i, (state, new)) in node.pools().iter().zip(&moves).enumerate() {
+            let old = told.0.get(i).copied().unwrap_or_default();
+            let since = |of: fn(&Moves) -> u64| of(new).saturating_sub(of(&old));
+            let (removed, failed) = (since(|m| m.removed), since(|m| m.failed));
+            let unreachable = since(|m| m.unreachable);
+            if removed + failed + unreachable > 0 {
+                log(&format!(
+                    "sessions: pool={} moved: removed={removed} failed={failed} unreachable={unreachable}",
+                    state.pool.name
+                ));
+                told.1 = now;
+            }
+        }
+        told.0 = moves;
+    }
+
     /// When it wants to be woken.
     pub fn due(&self) -> i64 {
         self.node.borrow().due()
--- a/node/src/net/share.rs
+++ b/node/src/net/share.rs
@@ -39,6 +39,8 @@
     node: RefCell<Node>,
     given: RefCell<Vec<Given>>,
     files: RefCell<Vec<Named>>,
+    /// News reaches all within this, in microseconds.
+    hold: i64,
     /// The view that was last looked at, and whether this node was cut off then.
     seen: Cell<(u64, bool)>,
     hub: Shared,
@@ -69,8 +71,9 @@
         let names: Vec<&str> = pools.iter().map(|p| &p.name[..]).collect();
         log(&format!("share: pools={} reserve_ms={}", names.join(","), times.reserve / 1000));
         let given = RefCell::new(given(&files));
+        let hold = times.hold;
         let (node, files) = (RefCell::new(Node::new(name, times, pools, now)), RefCell::new(files));
-        Some(Sharing { node, given, files, seen: Cell::new((0, false)), hub: hub.clone() })
+        Some(Sharing { node, given, files, hold, seen: Cell::new((0, false)), hub: hub.clone() })
     }
 
     /// Whether the view has changed since it was last looked at.
@@ -81,6 +84,8 @@
     /// Looks at the view, the file and the pools, and hands the pools what is this node's, `until` others may have it.
     pub fn turn(&self, fleet: &Fleet, now: i64, until: i64) {
         let alone = until <= now;
+        // What is not looked at again by then is not known to be right: the process stood still.
+        let until = until.min(now + self.hold);
         // A turn may come from within the hub's own; the next one is soon.
         let Ok(mut hub) = self.hub.try_borrow_mut() else { return };
         let mut node = self.node.borrow_mut();
--- /dev/null
+++ b/node/tests/sessions.rs
@@ -0,0 +1,333 @@
+//! Long-lived sessions on several real processes: a session stays with its worker through versions, restarts and lossy links, whichever
+//! node its client reaches; and what does move has a cause.
+
+mod common;
+
+use common::{configuration, packet, Scratch, Worker, PROGRAM};
+use pipitlever_rig::processes::{Cluster, Spec};
+use pipitlever_rig::relay::Link;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const NODES: usize = 5;
+const PATIENCE_MS: u64 = 1_500;
+
+/// A stand-in worker that answers with its name, until it is closed.
+fn desk(name: &str) -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (at, closed, name) = (listener.local_addr().unwrap(), Arc::<AtomicBool>::default(), name.to_owned());
+    let gone = closed.clone();
+    std::thread::spawn(move || {
+        loop {
+            let (stream, _) = listener.accept().unwrap();
+            if gone.load(SeqCst) {
+                // Whoever comes now finds nobody.
+                return;
+            }
+            // One that was killed meanwhile has sent a part at the most.
+            let Some((mut stream, _)) = Worker::try_read(stream) else { continue };
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", name.len());
+            let _ = stream.write_all(&[head.as_bytes(), name.as_bytes()].concat());
+        }
+    });
+    (at, closed)
+}
+
+/// The workers of the pool as a version has them: name, address, weight and more.
+type Desks = Vec<(String, SocketAddr, f64, &'static str)>;
+
+/// What a version holds of the operator's file.
+fn operator(pool: &str, was: &str, desks: &Desks) -> String {
+    let member = |(name, at, weight, more): &(String, SocketAddr, f64, &str)| {
+        format!("[[pool.member]]\naddress = \"{at}\"\nname = \"{name}\"\nweight = {weight:?}\n{more}")
+    };
+    let members: String = desks.iter().map(member).collect();
+    format!(
+        "[uwsgi]\nlisten = \"127.0.0.1:0\"\ndeadline_ms = 4000\n\
+         [[uwsgi.route]]\npath = \"/view\"\nclass = \"rota-view\"\nbackend = \"workers\"\npool = \"{pool}\"\n\
+         [[pool]]\nname = \"{pool}\"\nwas = [{was}]\n\
+         [pool.affinity]\nsession = \"HTTP_X_TERMINAL\"\npatience_ms = {PATIENCE_MS}\n{members}"
+    )
+}
+
+struct Site {
+    cluster: Cluster,
+    folder: Scratch,
+    /// Where uwsgi clients connect, by node; none while its process is down.
+    fronts: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+}
+
+impl Site {
+    fn new(name: &str, desks: &Desks) -> Site {
+        let folder = Scratch::new(name);
+        std::fs::create_dir_all(&folder.0).unwrap();
+        let electors = "electors = [\"n0\", \"n1\", \"n2\"]\nlease_ms = 3000\n";
+        let mut config = configuration(&json!({}));
+        // Cores for all that the clients ask for.
+        config["settings"]["familyInfo"]["cpus"] = json!(40);
+        let spec = Spec {
+            program: PROGRAM.into(),
+            config,
+            folder: folder.0.clone(),
+            probe_ms: 200,
+            seeds: Vec::new(),
+            fleet: true,
+            more: format!(
+                "[fleet.versions]\nfolder = \"FOLDER/versions\"\n{electors}{}",
+                operator("desks", "", desks)
+            ),
+        };
+        let cluster = Cluster::settled(spec, NODES);
+        let site = Site { cluster, folder, fronts: Arc::new(Mutex::new(vec![None; NODES])) };
+        (0..NODES).for_each(|i| site.found(i));
+        site.cluster.wait("all have what they are to remember", |c| (0..NODES).all(|i| filled(c, i)));
+        site
+    }
+
+    /// Finds where a node's process takes uwsgi clients.
+    fn found(&self, node: usize) {
+        let number = self.cluster.nodes[node].process.as_ref().unwrap().number;
+        let line = self.cluster.history.wait(0, |l| l.process == number && l.text.contains("protocol=uwsgi"));
+        let text = line.expect("it says so").text;
+        let at = text.split(' ').find_map(|w| w.strip_prefix("listen=").or(w.strip_prefix("address=")));
+        self.fronts.lock().unwrap()[node] = Some(at.unwrap().parse().unwrap());
+    }
+
+    fn kill(&mut self, node: usize) {
+        self.fronts.lock().unwrap()[node] = None;
+        self.cluster.kill(node);
+    }
+
+    fn start(&mut self, node: usize) {
+        self.cluster.start(node);
+        self.found(node);
+    }
+
+    fn publish(&self, node: usize, why: &str, operator: &str) {
+        let file = self.folder.0.join("version.json");
+        std::fs::write(&file, json!({ "operator": operator }).to_string()).unwrap();
+        let door = self.cluster.nodes[node].process.as_ref().unwrap().door.to_string();
+        let words = ["fleet", "publish", file.to_str().unwrap(), "--why", why, "--at", &door];
+        let output = Command::new(PROGRAM).args(words).output().unwrap();
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    }
+
+    fn acts(&self, nodes: &[usize], version: u64) {
+        let acts = |c: &Cluster, i: usize| c.view(i).is_some_and(|v| v["versions"]["acting"] == version);
+        self.cluster.wait("they act on it", |c| nodes.iter().all(|i| acts(c, *i)));
+    }
+}
+
+fn filled(cluster: &Cluster, node: usize) -> bool {
+    cluster.view(node).is_some_and(|v| v["sessions"]["filled"] == true)
+}
+
+/// One request of a session at a node: the worker that answered, or the code of the refusal.
+fn ask(front: SocketAddr, session: usize) -> Result<String, String> {
+    let wrong = |e: std::io::Error| e.to_string();
+    let mut stream = TcpStream::connect(front).map_err(wrong)?;
+    stream.set_read_timeout(Some(Duration::from_secs(8))).map_err(wrong)?;
+    stream
+        .write_all(&packet("/view", &[("HTTP_X_TERMINAL", &format!("terminal-{session}"))], b"x"))
+        .map_err(wrong)?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).map_err(wrong)?;
+    match text.split_once("\r\n\r\n") {
+        Some((head, body)) if head.contains(" 200 ") => Ok(body.to_owned()),
+        Some((head, _)) => Err(head.lines().next().unwrap_or_default().to_owned()),
+        None => Err("no answer".into()),
+    }
+}
+
+/// What a client heard: when, which session, at which node, which worker.
+type Heard = (Duration, usize, usize, String);
+
+/// Clients that go from node to node, until they are dropped.
+struct Clients {
+    stop: Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+    heard: Arc<Mutex<Vec<Heard>>>,
+    refused: Arc<Mutex<Vec<String>>>,
+    start: Instant,
+}
+
+impl Clients {
+    fn start(site: &Site, sessions: std::ops::Range<usize>) -> Clients {
+        let mut clients = Clients {
+            stop: Arc::default(),
+            threads: Vec::new(),
+            heard: Arc::default(),
+            refused: Arc::default(),
+            start: Instant::now(),
+        };
+        for part in 0..4 {
+            let (stop, heard, refused) =
+                (clients.stop.clone(), clients.heard.clone(), clients.refused.clone());
+            let (fronts, start, sessions) = (site.fronts.clone(), clients.start, sessions.clone());
+            clients.threads.push(std::thread::spawn(move || {
+                let mut rng = fastrand::Rng::with_seed(part);
+                while !stop.load(SeqCst) {
+                    let (session, node) = (rng.usize(sessions.clone()), rng.usize(0..NODES));
+                    // A client keeps to one thread, so that what it hears is in the order in which it asked.
+                    let session = session - session % 4 + part as usize;
+                    let Some(front) = fronts.lock().unwrap()[node] else { continue };
+                    match ask(front, session) {
+                        Ok(worker) => heard.lock().unwrap().push((start.elapsed(), session, node, worker)),
+                        Err(why) => refused.lock().unwrap().push(why),
+                    }
+                }
+            }));
+        }
+        clients
+    }
+
+    fn end(mut self) -> Vec<Heard> {
+        self.stop.store(true, SeqCst);
+        self.threads.drain(..).for_each(|t| t.join().unwrap());
+        let refused = self.refused.lock().unwrap();
+        let heard = std::mem::take(&mut *self.heard.lock().unwrap());
+        let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
+        refused.iter().for_each(|why| *kinds.entry(why).or_default() += 1);
+        println!("{} answers; refused or lost: {kinds:?}", heard.len());
+        heard
+    }
+}
+
+/// Each change of a session's worker, behind so many answers, in the order in which its client heard: session, from, to, and where.
+fn moves(heard: &[Heard], behind: usize) -> Vec<(usize, String, String, usize)> {
+    let mut last: BTreeMap<usize, &str> = BTreeMap::new();
+    let mut moves = Vec::new();
+    for (i, (_, session, node, worker)) in heard.iter().enumerate() {
+        match last.insert(*session, worker) {
+            Some(before) if before != worker && i >= behind => {
+                moves.push((*session, before.to_owned(), worker.clone(), *node))
+            }
+            _ => {}
+        }
+    }
+    moves
+}
+
+fn last(heard: &[Heard]) -> BTreeMap<usize, String> {
+    heard.iter().map(|(_, session, _, worker)| (*session, worker.clone())).collect()
+}
+
+fn desks(names: std::ops::Range<usize>) -> (Desks, Vec<Arc<AtomicBool>>) {
+    let desk = |i: usize| {
+        let (at, closed) = desk(&format!("w{i}"));
+        ((format!("w{i}"), at, 1.0, ""), closed)
+    };
+    names.map(desk).unzip()
+}
+
+#[test]
+fn nobody_moves_while_the_worker_stays_a_member() {
+    let (mut all, _) = desks(0..5);
+    let mut site = Site::new("sessions-stay", &all);
+    let clients = Clients::start(&site, 0..200);
+    let settle = Duration::from_millis(600);
+    std::thread::sleep(settle);
+    // Workers come, weights and the order change, and the pool gets another name.
+    let (more, _) = desks(5..8);
+    all.extend(more);
+    all.reverse();
+    all.iter_mut().enumerate().for_each(|(i, d)| d.2 = 0.5 + i as f64);
+    site.publish(0, "more desks", &operator("desks", "", &all));
+    site.acts(&[0, 1, 2, 3, 4], 1);
+    site.publish(1, "another name", &operator("counters", "\"desks\"", &all));
+    site.acts(&[0, 1, 2, 3, 4], 2);
+    // Links that lose a fifth, double some, and take their time.
+    for (from, to) in (0..NODES).flat_map(|a| (0..NODES).map(move |b| (a, b))) {
+        let link = Link { loss: 0.2, twice: 0.1, delay: Duration::from_millis(3), ..Link::default() };
+        site.cluster.links.set(from, to, link);
+    }
+    std::thread::sleep(settle);
+    for node in [4, 1] {
+        site.kill(node);
+        std::thread::sleep(settle);
+        site.start(node);
+        std::thread::sleep(settle);
+    }
+    // A worker moves to another machine: it is known by its name.
+    let moved = desk(&all[0].0);
+    all[0].1 = moved.0;
+    site.publish(0, "another machine", &operator("counters", "\"desks\"", &all));
+    site.acts(&[0, 1, 2, 3, 4], 3);
+    site.cluster.links.heal();
+    std::thread::sleep(settle);
+    let heard = clients.end();
+    let moved = moves(&heard, 0);
+    let said = || [site.cluster.said("sessions: pool"), site.cluster.said(" out for_ms")].concat();
+    assert!(moved.is_empty(), "{moved:?}: {:#?}", said());
+    assert!(last(&heard).len() > 190 && heard.len() > 1_000);
+    // The new ones took some as well: whoever came after they did.
+    let fronts = site.fronts.lock().unwrap().clone();
+    let new: Vec<String> = (1_000..1_060).map(|s| ask(fronts[s % NODES].unwrap(), s).unwrap()).collect();
+    assert!(["w5", "w6"].iter().all(|w| new.iter().any(|n| n == w)), "{new:?}");
+}
+
+#[test]
+fn sessions_of_a_worker_that_goes_or_fails_move_alone() {
+    let (mut all, closed) = desks(0..5);
+    let site = Site::new("sessions-move", &all);
+    let clients = Clients::start(&site, 0..120);
+    std::thread::sleep(Duration::from_millis(800));
+    // Two nodes don't hear that w0 is gone; clients go back and forth between the halves.
+    site.cluster.links.split(NODES, |i| usize::from(i >= 3));
+    site.cluster.wait("they are parted", |c| c.agree(&[0, 1, 2]) && c.agree(&[3, 4]));
+    let gone = all.remove(0);
+    site.publish(0, "w0 is gone", &operator("desks", "", &all));
+    site.acts(&[0, 1, 2], 1);
+    std::thread::sleep(Duration::from_millis(500));
+    site.cluster.links.heal();
+    site.acts(&[0, 1, 2, 3, 4], 1);
+    site.cluster.wait_settled("the heal");
+    // What the halves did apart: back and forth for those of w0, nothing for the others.
+    let so_far = clients.heard.lock().unwrap().len();
+    let heard = clients.heard.lock().unwrap().clone();
+    let moved = moves(&heard, 0);
+    assert!(!moved.is_empty(), "some were of w0");
+    let of_gone: Vec<usize> = moved.iter().filter(|m| m.1 == gone.0).map(|m| m.0).collect();
+    assert!(
+        moved.iter().all(|m| of_gone.contains(&m.0)),
+        "{moved:?} {:#?}",
+        site.cluster.said(" out for_ms")
+    );
+    std::thread::sleep(Duration::from_millis(2_500));
+    let heard = clients.heard.lock().unwrap().clone();
+    let after = moves(&heard, so_far);
+    // Within a second of the heal all have heard which place holds.
+    assert!(after.iter().all(|m| m.1 == gone.0 || of_gone.contains(&m.0)), "{after:?}");
+    let settled = heard.len();
+    std::thread::sleep(Duration::from_secs(1));
+    let heard = clients.heard.lock().unwrap().clone();
+    assert_eq!(moves(&heard, settled), [], "and from then on nobody moves");
+    let settled = heard.len();
+
+    // w1 breaks down: its machine accepts nobody. Runs never began there, so its sessions move at once, and once.
+    closed[1].store(true, SeqCst);
+    let _ = TcpStream::connect(all[0].1);
+    std::thread::sleep(Duration::from_millis(2_500));
+    let heard = clients.end();
+    let before = last(&heard[..settled]);
+    let moved = moves(&heard, settled);
+    assert!(moved.iter().all(|m| m.1 == "w1"), "{moved:?}");
+    let of: Vec<usize> = before.iter().filter(|(_, w)| *w == "w1").map(|(s, _)| *s).collect();
+    assert!(of.iter().all(|s| moved.iter().filter(|m| m.0 == *s).count() == 1), "{of:?} {moved:?}");
+    // The same for all: wherever one asks.
+    let now = last(&heard);
+    let fronts = site.fronts.lock().unwrap().clone();
+    for (session, worker) in &now {
+        for front in fronts.iter().flatten() {
+            assert_eq!(ask(*front, *session).as_deref(), Ok(worker.as_str()), "{session}");
+        }
+    }
+    let view: Value = site.cluster.view(0).unwrap();
+    assert!(view["sessions"]["pools"][0]["workers"]["w2"].as_u64().is_some_and(|n| n > 0), "{view}");
+}
--- a/pools/src/health.rs
+++ b/pools/src/health.rs
@@ -109,6 +109,8 @@
     last_out: Micros,
     /// Others may try it before this one does; once each time that it is out.
     waited: bool,
+    /// It was taken out since its runs failed, and not since they were slow.
+    failing: bool,
 }
 
 /// What each run leaves of those before it.
@@ -127,6 +129,7 @@
             times: 0,
             last_out: Micros::MIN / 2,
             waited: false,
+            failing: false,
         }
     }
 
@@ -144,6 +147,11 @@
         (self.state, self.since) = (state, now);
     }
 
+    /// Whether it is out, or on trial after that, as its runs failed: one that is only slow does what it is given.
+    pub fn failing(&self) -> bool {
+        self.failing && matches!(self.state, State::Out { .. } | State::Trial { .. })
+    }
+
     /// Another one is to try it first: it stays out as long again, once, in case that one doesn't. Whether it does.
     pub fn put_off(&mut self, now: Micros) -> bool {
         match self.state {
@@ -251,6 +259,11 @@
         self.times += 1;
         self.last_out = now;
         self.waited = false;
+        self.failing = match why {
+            Why::InARow(_) | Why::Share(_) => true,
+            Why::Slow(_) => false,
+            Why::Trial => self.failing,
+        };
         (self.in_a_row, self.failures, self.runs) = (0, 0.0, 0.0);
         self.enter(now, State::Out { until: now + out, why });
     }
@@ -277,6 +290,19 @@
         Health::new(Rules::default(), 0)
     }
 
+    #[test]
+    fn one_that_is_slow_does_not_fail() {
+        let mut health = health();
+        health.take_out(0, Why::Slow(5.0));
+        assert!(!health.failing());
+        health.take_out(0, Why::Trial);
+        assert!(!health.failing());
+        health.take_out(0, Why::InARow(5));
+        health.take_out(0, Why::Trial);
+        assert!(health.failing() && health.tick(1 << 40) && health.failing());
+        assert!(health.went_well(1 << 40) && !health.failing());
+    }
+
     #[test]
     fn failures_in_a_row_or_in_a_share_take_it_out() {
         let mut health = health();
--- a/pools/src/pool.rs
+++ b/pools/src/pool.rs
@@ -597,6 +597,11 @@
         self.servers.iter().filter(|s| !s.gone).filter(out).map(|s| &s.settings.address)
     }
 
+    /// Members that are left out, or on trial, as their runs failed.
+    pub fn failing(&self) -> impl Iterator<Item = &A> {
+        self.servers.iter().filter(|s| !s.gone && s.health.failing()).map(|s| &s.settings.address)
+    }
+
     /// Whether another node tries a member first that is left out.
     pub fn behind(&mut self, address: &A, behind: bool) {
         self.servers.iter_mut().filter(|s| s.settings.address == *address).for_each(|s| s.behind = behind);
