--- a/affinity/src/lookup.rs
+++ b/affinity/src/lookup.rs
@@ -2,7 +2,7 @@
 
 use crate::homes::ASKED;
 use crate::placement::Placement;
-use crate::{Micros, Session};
+use crate::{Micros, Session, WorkerId};
 use std::collections::BTreeMap;
 
 /// Questions at one time: whoever comes beyond that has its session placed by what is known here.
@@ -20,6 +20,8 @@
     homes: Vec<String>,
     /// What holds of what was said.
     best: Option<Placement>,
+    /// Where it is to be if nobody knows.
+    at: Option<WorkerId>,
     until: Micros,
     /// When those are asked again: a word may be lost.
     again: Micros,
@@ -41,6 +43,8 @@
     pub waiting: Vec<u64>,
     /// Where it lives, if anybody knows.
     pub placement: Option<Placement>,
+    /// Where it is to be if nobody does.
+    pub at: Option<WorkerId>,
 }
 
 /// The questions that are open.
@@ -62,7 +66,7 @@
     pub fn ask(
         &mut self,
         pool: usize,
-        session: Session,
+        (session, at): (Session, Option<WorkerId>),
         homes: &[&str],
         first: usize,
         [now, until]: [Micros; 2],
@@ -78,7 +82,7 @@
         let again = now + AGAIN;
         self.all.insert(
             self.last,
-            Question { session, pool, open, homes, best: None, until, again, waiting: vec![waiting] },
+            Question { session, pool, open, homes, best: None, at, until, again, waiting: vec![waiting] },
         );
         self.by_session.insert(session, self.last);
         Some(self.last)
@@ -105,9 +109,9 @@
     }
 
     fn end(&mut self, ticket: u32) -> Option<Settled> {
-        let Question { session, pool, waiting, best, .. } = self.all.remove(&ticket)?;
+        let Question { session, pool, waiting, best, at, .. } = self.all.remove(&ticket)?;
         self.by_session.remove(&session);
-        Some(Settled { session, pool, waiting, placement: best })
+        Some(Settled { session, pool, waiting, placement: best, at })
     }
 
     /// Somebody has told of a session that is being asked for.
@@ -148,7 +152,7 @@
     fn the_first_that_knows_settles_it_and_nobody_waits_for_longer() {
         let at = Placement { worker: 1, birth: Birth { seconds: 1, by: 1 }, moves: 0, version: 0 };
         let mut questions = Questions::default();
-        let ticket = questions.ask(0, 7, &["a", "b", "c"], 2, [0, 100], 1).unwrap();
+        let ticket = questions.ask(0, (7, None), &["a", "b", "c"], 2, [0, 100], 1).unwrap();
         assert!(questions.join(7, 2) && !questions.join(8, 3));
         assert_eq!(questions.answer(ticket, "a", 7, None), None);
         assert_eq!(questions.answer(ticket, "a", 7, Some(at)), None, "one answer of each");
@@ -156,24 +160,24 @@
         assert_eq!(questions.answer(ticket, "b", 8, Some(at)), None, "that was not the question");
         let settled = questions.answer(ticket, "b", 7, Some(at)).unwrap();
         assert_eq!((settled.waiting, settled.placement), (vec![1, 2], Some(at)));
-        let ticket = questions.ask(0, 7, &["a", "b"], 2, [0, 100], 1).unwrap();
+        let ticket = questions.ask(0, (7, None), &["a", "b"], 2, [0, 100], 1).unwrap();
         assert_eq!(questions.answer(ticket, "a", 7, None), None);
         assert_eq!(questions.answer(ticket, "b", 7, None).unwrap().placement, None);
         // One that is no home settles nothing while a home may know better.
-        let ticket = questions.ask(0, 7, &["a", "b", "c"], 2, [0, 100], 1).unwrap();
+        let ticket = questions.ask(0, (7, None), &["a", "b", "c"], 2, [0, 100], 1).unwrap();
         assert_eq!(questions.answer(ticket, "c", 7, Some(at)), None);
         let later = at.moved(2, 0);
         assert_eq!(questions.answer(ticket, "a", 7, Some(later)).unwrap().placement, Some(later));
-        let ticket = questions.ask(0, 7, &["a", "b", "c"], 2, [0, 100], 1).unwrap();
+        let ticket = questions.ask(0, (7, None), &["a", "b", "c"], 2, [0, 100], 1).unwrap();
         assert_eq!(questions.answer(ticket, "c", 7, Some(at)), None);
         assert_eq!(questions.due(100)[0].placement, Some(at));
-        questions.ask(0, 9, &["a"], 1, [0, 100], 4);
+        questions.ask(0, (9, None), &["a"], 1, [0, 100], 4);
         assert!(questions.due(99).is_empty() && questions.next() == Some(100));
         assert_eq!(questions.again(AGAIN), [(5, 9, vec!["a".to_owned()])]);
         assert!(questions.again(AGAIN).is_empty());
         assert_eq!(questions.due(100)[0].waiting, [4]);
         assert_eq!(questions.next(), None);
-        questions.ask(0, 9, &["a"], 1, [0, 100], 4);
+        questions.ask(0, (9, None), &["a"], 1, [0, 100], 4);
         assert_eq!(questions.told(9, at).unwrap().placement, Some(at));
     }
 }
--- a/affinity/src/node/fill.rs
+++ b/affinity/src/node/fill.rs
@@ -16,6 +16,7 @@
 const SERVED: usize = 64;
 
 /// How far it is.
+#[derive(Clone, Debug)]
 pub(super) struct Fill {
     token: u64,
     begun: Micros,
@@ -80,6 +81,7 @@
 }
 
 /// Sessions on their way to another node.
+#[derive(Clone, Debug)]
 pub(super) struct Job {
     pub(super) to: String,
     pub(super) sessions: Vec<Session>,
--- a/affinity/src/node/heard.rs
+++ b/affinity/src/node/heard.rs
@@ -103,7 +103,7 @@
 
     /// A question is settled: those who wait hear of it.
     pub(super) fn settled(&mut self, now: Micros, settled: Settled) {
-        let Settled { session, pool, waiting, placement } = settled;
+        let Settled { session, pool, waiting, placement, at } = settled;
         let found = match placement {
             _ if pool >= self.pools.len() => Found::Nowhere,
             Some(placement) => {
@@ -112,7 +112,7 @@
                 let held = self.table.get(now, session).map_or(placement, |(p, _)| p);
                 self.settle(now, pool, session, held)
             }
-            None => self.known(now, pool, session),
+            None => self.known(now, pool, session, at),
         };
         self.found.extend(waiting.into_iter().map(|w| (w, found)));
     }
--- a/affinity/src/node/mod.rs
+++ b/affinity/src/node/mod.rs
@@ -36,6 +36,30 @@
     pub filled: bool,
 }
 
+/// What is looked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    /// A session, by what its client shows.
+    Session(u64),
+    /// A keyed request that has come to this worker for the first time: its repeats go there too, wherever its session goes meanwhile.
+    Key(u64, WorkerId),
+}
+
+/// Keys are the odd ones among what is remembered.
+const KEY: u64 = 1;
+/// A key is remembered for so long, in seconds: longer than any window in which its repeats count as such.
+const KEYS: u32 = 600;
+
+impl What {
+    /// What stands for it in a pool, and where it is to be if nobody knows it.
+    fn id(self, pool: u64) -> (Session, Option<WorkerId>) {
+        match self {
+            What::Session(shown) => (mix(pool, shown) & !KEY, None),
+            What::Key(shown, at) => (mix(pool, shown) | KEY, Some(at)),
+        }
+    }
+}
+
 /// Where a request's session lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Found {
@@ -53,6 +77,7 @@
 const SWEEP: Micros = 5_000_000;
 
 /// The node.
+#[derive(Clone, Debug)]
 pub struct Node {
     name: String,
     /// Stands for it, where two nodes place something in one second.
@@ -116,9 +141,9 @@
         self.pools = pools.into_iter().map(state).collect();
     }
 
-    /// Where a request's session lives. `key` stands for what its client shows, `waiting` for the request.
-    pub fn want(&mut self, now: Micros, pool: usize, key: u64, waiting: u64) -> Found {
-        let Some(session) = self.pools.get(pool).map(|p| mix(p.id, key)) else { return Found::Nowhere };
+    /// Where a request's session lives, or its key belongs. `waiting` stands for the request.
+    pub fn want(&mut self, now: Micros, pool: usize, what: What, waiting: u64) -> Found {
+        let Some((session, at)) = self.pools.get(pool).map(|p| what.id(p.id)) else { return Found::Nowhere };
         if !self.fill.ready() {
             // It knows nobody yet whom it could ask.
             return Found::Nowhere;
@@ -145,22 +170,22 @@
         let until = now + self.settings.wait;
         let asked = match others.is_empty() {
             true => None,
-            false => self.questions.ask(pool, session, &others, first, [now, until], waiting),
+            false => self.questions.ask(pool, (session, at), &others, first, [now, until], waiting),
         };
         match asked {
             Some(ticket) => {
                 self.ask(now, session, ticket);
                 Found::Asked
             }
-            None => self.known(now, pool, session),
+            None => self.known(now, pool, session, at),
         }
     }
 
     /// Where a session lives that nobody is asked for, or of which nobody has said anything.
-    fn known(&mut self, now: Micros, pool: usize, session: Session) -> Found {
+    fn known(&mut self, now: Micros, pool: usize, session: Session, at: Option<WorkerId>) -> Found {
         match self.table.get(now, session) {
             Some((placement, _)) => self.settle(now, pool, session, placement),
-            None => self.place(now, pool, session),
+            None => self.place(now, pool, session, at),
         }
     }
 
@@ -171,11 +196,13 @@
     }
 
     /// A session that nobody knows.
-    fn place(&mut self, now: Micros, pool: usize, session: Session) -> Found {
-        let Some(worker) = self.choose(pool, session, None) else { return Found::Nowhere };
+    fn place(&mut self, now: Micros, pool: usize, session: Session, at: Option<WorkerId>) -> Found {
+        let there = at.filter(|at| self.pools[pool].position(*at).is_some());
+        let chosen = there.or_else(|| self.choose(pool, session, None));
+        let Some(worker) = chosen else { return Found::Nowhere };
         let birth = Birth { seconds: self.time.read(now), by: self.by };
         let placement = Placement { worker, birth, moves: 0, version: self.version };
-        self.pools[pool].moves.placed += 1;
+        self.pools[pool].moves.placed += u64::from(session & KEY == 0);
         self.table.join(now, session, placement, 0);
         self.tell(now, session, placement);
         Found::At(worker)
@@ -226,8 +253,14 @@
     }
 
     /// A run of a session never began, as its worker could not be reached: it moves at once. Where to, if anywhere else.
-    pub fn unreachable(&mut self, now: Micros, pool: usize, key: u64, worker: WorkerId) -> Option<WorkerId> {
-        let session = mix(self.pools.get(pool)?.id, key);
+    pub fn unreachable(
+        &mut self,
+        now: Micros,
+        pool: usize,
+        what: What,
+        worker: WorkerId,
+    ) -> Option<WorkerId> {
+        let (session, _) = what.id(self.pools.get(pool)?.id);
         match self.table.get(now, session) {
             Some((p, _)) if p.worker == worker => {
                 self.shift(now, pool, session, p, Cause::Unreachable).filter(|w| *w != worker)
@@ -281,6 +314,7 @@
             let (homes, coming, name) = (&self.homes, &self.coming, &self.name);
             let idle = self.pools.iter().map(|p| p.idle).max().unwrap_or_default();
             self.table.sweep(now, |session, seconds| {
+                let idle = if session & KEY != 0 { KEYS } else { idle };
                 seconds < CACHED || seconds < idle && (homes.has(session, name) || coming.has(session, name))
             });
         }
@@ -324,8 +358,8 @@
     }
 
     /// What is known here of a session, for tests and for operators.
-    pub fn placement(&self, now: Micros, pool: usize, key: u64) -> Option<Placement> {
-        self.table.get(now, mix(self.pools.get(pool)?.id, key)).map(|(p, _)| p)
+    pub fn placement(&self, now: Micros, pool: usize, what: What) -> Option<Placement> {
+        self.table.get(now, what.id(self.pools.get(pool)?.id).0).map(|(p, _)| p)
     }
 
     /// Sessions by worker, in one pool.
--- a/affinity/src/node/pools.rs
+++ b/affinity/src/node/pools.rs
@@ -72,6 +72,7 @@
 const MOST_UNKNOWN: usize = 64;
 
 /// A pool, and what is known of its workers.
+#[derive(Clone, Debug)]
 pub struct PoolState {
     /// The file.
     pub pool: Pool,
--- a/affinity/src/table.rs
+++ b/affinity/src/table.rs
@@ -6,6 +6,7 @@
 use crate::{Micros, Session, WorkerId};
 use hashbrown::HashMap;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::hash::{BuildHasherDefault, Hasher};
 
 /// One entry, as small as it can be: there may be a million.
@@ -65,7 +66,7 @@
 }
 
 /// The table.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Table {
     all: HashMap<Key, Entry, BuildHasherDefault<Bits>>,
     most: usize,
@@ -76,6 +77,14 @@
     pub turned_down: u64,
 }
 
+impl fmt::Debug for Table {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        // In order: two tables that hold the same look the same.
+        let all: BTreeMap<&Key, &Entry> = self.all.iter().collect();
+        f.debug_map().entries(all).finish()
+    }
+}
+
 /// What has come of a piece of news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Joined {
--- a/node/src/life/command.rs
+++ b/node/src/life/command.rs
@@ -5,6 +5,7 @@
 use super::explain;
 use super::import::Import;
 use super::serve::serve;
+use super::sessions;
 use super::stored::{self, Task};
 use lexopt::prelude::*;
 
@@ -35,6 +36,8 @@
   pipitlever fleet close|accept-floor N --at DOOR
                        no node acts on a version below N; or: this node may act on N and what follows, where its
                        electors are lost
+  pipitlever fleet sessions --at DOOR [--worker NAME] [--json]
+                       where long-lived sessions live, as this node remembers them, and what has moved here and why
   pipitlever version   print the version
   pipitlever help      print this
 
@@ -51,7 +54,7 @@
     let mut verb = None;
     let mut operator = None;
     let mut files = Vec::new();
-    let (mut json, mut watch, mut doors, mut why) = (false, false, Vec::new(), None);
+    let (mut json, mut watch, mut doors, mut why, mut worker) = (false, false, Vec::new(), None, None);
     let mut config = std::env::var("EDGE_CONFIG").ok();
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
@@ -74,6 +77,10 @@
                 let value = parser.value().map_err(|e| e.to_string())?;
                 why = Some(value.string().map_err(|e| e.to_string())?);
             }
+            Long("worker") if verb.as_deref() == Some("fleet") => {
+                let value = parser.value().map_err(|e| e.to_string())?;
+                worker = Some(value.string().map_err(|e| e.to_string())?);
+            }
             Long("watch") if verb.as_deref() == Some("fleet") => watch = true,
             Long("at") if verb.as_deref() == Some("fleet") => {
                 let value = parser.value().map_err(|e| e.to_string())?;
@@ -152,9 +159,10 @@
             ([task, number], [door]) if task == "close" || task == "accept-floor" => {
                 doors::order(door, task, number)
             }
+            ([task], [door]) if task == "sessions" => sessions::run(door, worker.as_deref(), json),
             ([task], [door]) if task == "status" => doors::status(door, json, watch),
             ([task], [_, _, ..]) if task == "compare" => doors::compare(&doors),
-            _ => Err("fleet: say publish FILE --why WHY --at DOOR, close N or accept-floor N, status and --at DOOR, or compare and --at for two doors or more".into()),
+            _ => Err("fleet: say publish FILE --why WHY --at DOOR, close N or accept-floor N, status or sessions and --at DOOR, or compare and --at for two doors or more".into()),
         },
         "version" => {
             println!("pipitlever {}", env!("CARGO_PKG_VERSION"));
--- a/node/src/life/doors.rs
+++ b/node/src/life/doors.rs
@@ -33,6 +33,9 @@
     /// How the node stands to the versions of the fleet's settings, if these are decided.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub versions: Option<Versions>,
+    /// Where long-lived sessions live, if any stay with their workers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sessions: Option<super::sessions::Sessions>,
 }
 
 /// How a node stands to the versions of the fleet's settings.
@@ -282,6 +285,7 @@
         };
         View {
             versions: None,
+            sessions: None,
             itself: itself.into(),
             fleet: "rota".into(),
             settled: true,
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -11,6 +11,7 @@
 mod pools;
 mod reload;
 pub mod serve;
+mod sessions;
 pub mod signals;
 pub mod store;
 mod stored;
--- a/node/src/net/fleet.rs
+++ b/node/src/net/fleet.rs
@@ -3,7 +3,7 @@
 use super::clock::Clock;
 use super::hub::Shared;
 use super::nudge::Nudge;
-use super::sessions::Sessions;
+use super::sessions::{Looked, Sessions};
 use super::share::{Apart, Sharing};
 use super::versions::{self, Act, Versions};
 use super::{ahead, by};
@@ -403,10 +403,10 @@
     }
 
     /// The worker of a session, if any takes it: known here, or told by others in a moment.
-    pub async fn session(&self, pool: usize, key: u64) -> Option<SocketAddr> {
+    pub async fn session(&self, pool: usize, looked: Looked) -> Option<SocketAddr> {
         let sessions = self.affinity.as_ref()?;
         let (now, version) = (self.clock.now(), self.acting());
-        match sessions.want(now, version, pool, key) {
+        match sessions.want(now, version, pool, looked) {
             Ok(at) => {
                 // What it had to say of that goes out with the next turn, which is soon.
                 self.woken.give();
@@ -421,8 +421,8 @@
     }
 
     /// A run could not begin at its session's worker: where it goes instead, if anywhere.
-    pub fn unreachable(&self, pool: usize, key: u64, at: SocketAddr) -> Option<SocketAddr> {
-        let next = self.affinity.as_ref()?.unreachable(self.clock.now(), pool, key, at);
+    pub fn unreachable(&self, pool: usize, looked: Looked, at: SocketAddr) -> Option<SocketAddr> {
+        let next = self.affinity.as_ref()?.unreachable(self.clock.now(), pool, looked, at);
         self.woken.give();
         next
     }
--- a/node/src/net/sessions.rs
+++ b/node/src/net/sessions.rs
@@ -6,7 +6,7 @@
 use crate::log::log;
 use async_channel::Sender;
 use pipitlever_affinity::message::Message;
-use pipitlever_affinity::node::{Found, Moves, Node, Peer, Pool, Server, Settings};
+use pipitlever_affinity::node::{Found, Moves, Node, Peer, Pool, Server, Settings, What};
 use pipitlever_affinity::WorkerId;
 use pipitlever_fleet::Fleet;
 use pipitlever_pools::pool::Use;
@@ -179,12 +179,21 @@
     }
 
     /// Begins to look for the worker of a session: it is known, or comes by the channel.
-    pub fn want(&self, now: i64, version: u64, pool: usize, key: u64) -> Result<Option<SocketAddr>, Waiting> {
+    pub fn want(
+        &self,
+        now: i64,
+        version: u64,
+        pool: usize,
+        looked: Looked,
+    ) -> Result<Option<SocketAddr>, Waiting> {
         let mut node = self.node.borrow_mut();
         self.renew(&mut node, now, version);
-        let Some(number) = self.number(pool) else { return Ok(None) };
+        let Some((number, what)) = self.number(pool).and_then(|i| Some((i, self.what(&node, i, looked)?)))
+        else {
+            return Ok(None);
+        };
         self.last.set(self.last.get() + 1);
-        match node.want(now, number, key, self.last.get()) {
+        match node.want(now, number, what, self.last.get()) {
             Found::Asked => {
                 let (sender, receiver) = async_channel::bounded(1);
                 self.waiting.borrow_mut().insert(self.last.get(), sender);
@@ -194,6 +203,18 @@
         }
     }
 
+    fn worker(&self, node: &Node, number: usize, at: SocketAddr) -> Option<WorkerId> {
+        let position = self.files.borrow()[number].1.members.iter().position(|m| m.address == at);
+        node.pools()[number].id(position?)
+    }
+
+    fn what(&self, node: &Node, number: usize, looked: Looked) -> Option<What> {
+        match looked {
+            Looked::Session(shown) => Some(What::Session(shown)),
+            Looked::Key(shown, at) => Some(What::Key(shown, self.worker(node, number, at)?)),
+        }
+    }
+
     /// Where a worker is.
     fn address(&self, node: &Node, number: usize, found: Found) -> Option<SocketAddr> {
         let Found::At(worker) = found else { return None };
@@ -207,12 +228,12 @@
     }
 
     /// A run could not begin at a session's worker: where it goes instead, if anywhere.
-    pub fn unreachable(&self, now: i64, pool: usize, key: u64, at: SocketAddr) -> Option<SocketAddr> {
+    pub fn unreachable(&self, now: i64, pool: usize, looked: Looked, at: SocketAddr) -> Option<SocketAddr> {
         let mut node = self.node.borrow_mut();
         let number = self.number(pool)?;
-        let position = self.files.borrow()[number].1.members.iter().position(|m| m.address == at);
-        let worker = node.pools()[number].id(position?)?;
-        let next = node.unreachable(now, number, key, worker)?;
+        let worker = self.worker(&node, number, at)?;
+        let what = self.what(&node, number, looked)?;
+        let next = node.unreachable(now, number, what, worker)?;
         self.address(&node, number, Found::At(next))
     }
 
@@ -234,6 +255,15 @@
     }
 }
 
+/// What a request looks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Looked {
+    /// Its session.
+    Session(u64),
+    /// Where a keyed one went first; and where its session lives now, for one that comes for the first time.
+    Key(u64, SocketAddr),
+}
+
 /// A request that waits for word of its session.
 pub struct Waiting {
     number: usize,
--- a/node/src/net/workers.rs
+++ b/node/src/net/workers.rs
@@ -4,6 +4,7 @@
 use super::by;
 use super::hub::Shared;
 use super::pools::Job;
+use super::sessions::Looked;
 use crate::core::End;
 use crate::wire::uwsgi::{variable, Response};
 use async_executor::LocalExecutor;
@@ -38,12 +39,19 @@
     // A key in the packet is the same in all tries of a request, whichever front they came by.
     let key = variable(&job.packet, "HTTP_IDEMPOTENCY_KEY").filter(|_| job.sticky).map(digest);
     // Where sessions stay with their workers there is one place for it, and no other.
-    let session = hub.borrow().pools.session(&job);
+    let session = hub.borrow().pools.session(&job).map(Looked::Session);
     let part = hub.borrow().callers.fleet.clone().filter(|_| session.is_some());
+    let mut looked = Vec::from_iter(session);
     let mut home = match (session, &part) {
         (Some(session), Some(part)) => Some(part.session(job.pool, session).await),
         _ => None,
     };
+    // A repeat goes where the first try went, though its session has moved since.
+    let repeats = variable(&job.packet, "HTTP_IDEMPOTENCY_KEY").filter(|_| !job.safe).map(digest);
+    if let (Some(Some(at)), Some(part), Some(shown)) = (home, &part, repeats) {
+        looked.push(Looked::Key(shown, at));
+        home = Some(part.session(job.pool, Looked::Key(shown, at)).await);
+    }
     let mut tried = Vec::new();
     // Whether any worker may have acted on it.
     let mut ran = false;
@@ -75,8 +83,11 @@
             // What may have run there is of that worker alone.
             (None, Some(_)) if home.is_some() && ran => break None,
             (None, Some(pause)) => {
-                if let (Some(session), Some(part), Some(_)) = (session, &part, home) {
-                    home = Some(part.unreachable(job.pool, session, put.address));
+                if let (Some(part), Some(_)) = (&part, home) {
+                    // The session and the key leave it together.
+                    for looked in &looked {
+                        home = Some(part.unreachable(job.pool, *looked, put.address));
+                    }
                 }
                 Timer::at(Instant::now() + Duration::from_micros(pause as u64)).await;
             }
--- /dev/null
+++ b/pools/src/pool/place.rs
@@ -0,0 +1,181 @@
+//! Who gets a run, and what its end says.
+
+use super::*;
+
+impl<A: Clone + PartialEq + Hash> Pool<A> {
+    pub(super) fn room(&self, i: usize) -> bool {
+        self.servers[i].runs.len() < self.servers[i].limit.runs()
+    }
+
+    /// The part of its share that a member gets now.
+    pub(super) fn part(&self, now: Micros, i: usize) -> f64 {
+        match self.distrusted {
+            Some(_) => 1.0,
+            None => self.servers[i].health.part(now).max(0.01),
+        }
+    }
+
+    pub(super) fn load(&self, now: Micros, i: usize) -> f64 {
+        let server = &self.servers[i];
+        let latency = server.latency(now, self.rules.fade, self.typical);
+        // Idle members are alike but for their latency; their weights are in how often they are drawn.
+        (server.runs.len() as f64 / (server.settings.weight * self.part(now, i)) + 1.0) * latency
+    }
+
+    /// A usable member, as often as its weight says, and one that warms up more seldom.
+    pub(super) fn draw(&mut self, now: Micros) -> usize {
+        let sum = *self.weights.last().expect("one is usable");
+        let mut i = 0;
+        for _ in 0..3 {
+            let at = self.rng.random_range(0.0..sum);
+            i = self.usable[self.weights.partition_point(|w| *w <= at).min(self.usable.len() - 1)];
+            let part = self.part(now, i);
+            if part >= 1.0 || self.rng.random_bool(part) {
+                break;
+            }
+        }
+        i
+    }
+
+    /// A place for a first try.
+    pub fn place(&mut self, now: Micros, ask: Ask) -> Place<A> {
+        if ask.tried.is_empty() {
+            self.budget.first();
+        }
+        self.tick(now);
+        let tried = |s: &Server<A>| ask.tried.contains(&s.number);
+        // A member on trial goes first: nobody else can tell whether it is well.
+        let trial = self.trials.iter().copied().find(|&i| {
+            let server = &self.servers[i];
+            !tried(server) && server.health.may_try(now, ask.safe, server.runs.len())
+        });
+        if let Some(i) = trial {
+            return self.put(now, i);
+        }
+        if let Some(i) = ask.key.and_then(|key| self.sticky(now, key, ask.tried)) {
+            return self.put(now, i);
+        }
+        let count = self.usable.len();
+        let open = |pool: &Pool<A>, i: usize| !tried(&pool.servers[i]) && pool.room(i);
+        // Two at random, a few times over: with most members open one time is enough.
+        for _ in 0..4 {
+            if count < 2 {
+                break;
+            }
+            let two = [self.draw(now), self.draw(now)];
+            match two.map(|i| open(self, i)) {
+                [true, true] => {
+                    let [a, b] = two.map(|i| self.load(now, i));
+                    return self.put(now, if b < a { two[1] } else { two[0] });
+                }
+                [true, false] => return self.put(now, two[0]),
+                [false, true] => return self.put(now, two[1]),
+                [false, false] => {}
+            }
+        }
+        let all = self.usable.iter().copied().filter(|&i| open(self, i));
+        match all.min_by(|&a, &b| self.load(now, a).total_cmp(&self.load(now, b))) {
+            Some(i) => self.put(now, i),
+            None if self.usable.iter().any(|&i| !tried(&self.servers[i])) => Place::NoRoom,
+            None => Place::Nobody,
+        }
+    }
+
+    /// A place at one member alone, whether it is left out or not: for what can't be anywhere else.
+    pub fn place_at(&mut self, now: Micros, ask: Ask, address: &A) -> Place<A> {
+        if ask.tried.is_empty() {
+            self.budget.first();
+        }
+        self.tick(now);
+        let there = |s: &Server<A>| !s.gone && s.settings.address == *address;
+        match self.servers.iter().position(there) {
+            Some(i) if ask.tried.contains(&self.servers[i].number) => Place::Nobody,
+            Some(i) if self.room(i) => self.put(now, i),
+            Some(_) => Place::NoRoom,
+            None => Place::Nobody,
+        }
+    }
+
+    /// The member that a key belongs to, or the next one in its order that is not crowded.
+    pub(super) fn sticky(&self, now: Micros, key: u64, tried: &[u32]) -> Option<usize> {
+        let runs = self.runs.len();
+        let weights = self.weights.last().copied().unwrap_or_default();
+        let fits = |i: usize| {
+            let server = &self.servers[i];
+            let share = (runs + 1) as f64 * server.settings.weight / weights.max(1e-9);
+            let most = (self.rules.crowd * share).ceil().max(1.0);
+            let well = self.distrusted.is_some() || server.health.part(now) > 0.0;
+            let free = !tried.contains(&server.number) && self.room(i);
+            well && free && ((server.runs.len() + 1) as f64) <= most
+        };
+        self.ring.order(key).take(256).filter_map(|n| self.places.get(&n).copied()).find(|&i| fits(i))
+    }
+
+    pub(super) fn put(&mut self, now: Micros, i: usize) -> Place<A> {
+        self.next.1 += 1;
+        let run = self.next.1;
+        let server = &mut self.servers[i];
+        server.runs.insert((now, run));
+        self.runs.insert(run, (server.number, now));
+        Place::At { run, member: server.number, address: server.settings.address.clone() }
+    }
+
+    /// A run has ended.
+    pub fn ended(&mut self, now: Micros, run: Run, end: End) {
+        let Some((number, since)) = self.runs.remove(&run) else { return };
+        let Some(&i) = self.places.get(&number) else { return };
+        let (fade, typical) = (self.rules.fade, &mut self.typical);
+        let server = &mut self.servers[i];
+        let in_flight = server.runs.len();
+        server.runs.remove(&(since, run));
+        let took = (now - since).max(0);
+        let mut out = None;
+        let patient = took as f64 >= *typical * self.rules.health.slower;
+        match end {
+            End::Well => {
+                server.observe(now, took, fade);
+                *typical += (took as f64 - *typical) * 0.02;
+                server.limit.went_well(now, since, in_flight);
+                if server.health.went_well(now) {
+                    self.notes.push(Note::Back(server.settings.address.clone()));
+                    self.arrange(now);
+                }
+            }
+            End::TimedOut if !patient => {}
+            End::Failed | End::TimedOut => {
+                // One that fails at once must not look quick.
+                server.observe(now, took.max(*typical as Micros), fade);
+                out = server.health.failed();
+            }
+            End::Unreachable => out = server.health.failed(),
+        }
+        if let Some(why) = out {
+            self.take_out(now, i, why);
+        }
+        if self.servers[i].gone && self.servers[i].runs.is_empty() {
+            self.servers.remove(i);
+            self.arrange(now);
+        }
+        self.tick(now);
+    }
+
+    /// How long to wait before a further try of a request, if it may have one.
+    pub fn again(&mut self, now: Micros, further: Further) -> Option<Micros> {
+        self.budget.again(now, further, &mut self.rng)
+    }
+
+    /// From now on so much of the budget of repeats is this node's.
+    pub fn divide(&mut self, part: f64) {
+        self.budget.divide(part);
+    }
+
+    /// Changes since the last call, in order.
+    pub fn notes(&mut self) -> Vec<Note<A>> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Runs under way.
+    pub fn in_flight(&self) -> usize {
+        self.runs.len()
+    }
+}
--- a/rig/tests/sessions.rs
+++ b/rig/tests/sessions.rs
@@ -181,6 +181,28 @@
     assert_eq!(moved(&mut world, &now, &mut rng), [], "it is back, and nobody goes back");
 }
 
+#[test]
+fn repeats_of_a_key_go_where_the_first_try_went() {
+    let (mut world, places, mut rng) = world(6, 4, 200, 29);
+    // Each session has a key under way.
+    for (key, at) in &places {
+        assert_eq!(worker(world.ask_key(rng.usize(0..6), *key, *at)), *at);
+    }
+    world.fail(&[1]);
+    world.run_until(world.now + 6 * S);
+    let seen = moved(&mut world, &places, &mut rng);
+    assert!(!seen.is_empty());
+    world.fail(&[]);
+    world.run_until(world.now + S);
+    for (key, from, to) in seen {
+        // The session lives elsewhere now, and its key is where it ran, whichever node is asked.
+        assert_eq!(worker(world.ask(rng.usize(0..6), key)), to);
+        assert_eq!(worker(world.ask_key(rng.usize(0..6), key, to)), from);
+        // A new key of that session goes with it.
+        assert_eq!(worker(world.ask_key(rng.usize(0..6), key + 10_000, to)), to);
+    }
+}
+
 #[test]
 fn many_that_join_at_once_and_leave_again_move_nobody() {
     let (mut world, places, mut rng) = world(5, 6, 500, 19);
--- a/share/src/apportion.rs
+++ b/share/src/apportion.rs
@@ -1,46 +1,54 @@
 //! Whole units by weights: the method of largest remainders (Hamilton), with ties by a number that all nodes share.
 
-/// Divides so many units by these weights. Nobody gets fewer than `least` while that leaves nobody short, nor more than his
-/// `most`; whoever is at his most leaves the rest to the others. The sum is `total`, or that of `most` if it is less.
-pub fn apportion(total: usize, weights: &[f64], least: usize, most: usize, ties: &[u64]) -> Vec<usize> {
+/// What each would have if units could be cut: in proportion to the weights, but nobody fewer than `least` while that leaves nobody short,
+/// nor more than `most`; whoever is at his most leaves the rest to the others. More weight of one never gives him less, nor another more.
+pub fn shares(total: usize, weights: &[f64], least: usize, most: usize) -> Vec<f64> {
     let count = weights.len();
     let total = total.min(count * most);
     let least = if least * count <= total { least.min(most) } else { 0 };
-    let mut parts = vec![least; count];
+    let mut shares = vec![0.0; count];
     // Who is bounded from above or below is set apart, and the others share what is left, until nobody more is.
     let mut free: Vec<usize> = (0..count).collect();
-    let mut left = total;
-    loop {
+    let mut left = total as f64;
+    while !free.is_empty() {
         let sum: f64 = free.iter().map(|&i| weights[i]).sum();
-        let ideal = |i: usize| {
-            if sum > 0.0 {
-                left as f64 * weights[i] / sum
-            } else {
-                left as f64 / free.len() as f64
-            }
-        };
-        let over: Vec<usize> = free.iter().copied().filter(|&i| ideal(i) >= most as f64).collect();
-        let (bounded, bound) = match over.is_empty() {
-            false => (over, most),
-            true => (free.iter().copied().filter(|&i| ideal(i) < least as f64).collect(), least),
-        };
-        if bounded.is_empty() || free.is_empty() {
-            let whole: Vec<usize> = free.iter().map(|&i| ideal(i) as usize).collect();
-            let mut rest: Vec<(f64, u64, usize)> =
-                free.iter().zip(&whole).map(|(&i, &w)| (ideal(i) - w as f64, ties[i], i)).collect();
-            rest.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
-            free.iter().zip(&whole).for_each(|(&i, &w)| parts[i] = w);
-            let missing = left - whole.iter().sum::<usize>().min(left);
-            rest.iter().take(missing).for_each(|&(_, _, i)| parts[i] += 1);
-            return parts;
+        let even = left / free.len() as f64;
+        let ideal = |i: usize| if sum > 0.0 { left * weights[i] / sum } else { even };
+        let over: Vec<usize> = free.iter().copied().filter(|&i| ideal(i) > most as f64).collect();
+        let under: Vec<usize> = free.iter().copied().filter(|&i| ideal(i) < least as f64).collect();
+        // Those who get more than their part take from the others, those who get less leave them more: first whichever is the larger sum.
+        let gains: f64 = under.iter().map(|&i| least as f64 - ideal(i)).sum();
+        let losses: f64 = over.iter().map(|&i| ideal(i) - most as f64).sum();
+        let (bounded, bound) = if losses >= gains { (over, most) } else { (under, least) };
+        if bounded.is_empty() {
+            free.iter().for_each(|&i| shares[i] = ideal(i));
+            break;
         }
-        // One bounded from below takes from what the others share, one from above leaves them more.
         for &i in &bounded {
-            parts[i] = bound.min(left);
-            left -= parts[i];
+            shares[i] = bound as f64;
+            left -= bound as f64;
         }
         free.retain(|i| !bounded.contains(i));
     }
+    shares
+}
+
+/// Divides so many units by these weights: what each would have, rounded by largest remainders. The sum is `total`, or that of
+/// `most` if it is less.
+pub fn apportion(total: usize, weights: &[f64], least: usize, most: usize, ties: &[u64]) -> Vec<usize> {
+    let shares = shares(total, weights, least, most);
+    let mut parts: Vec<usize> = shares.iter().map(|s| whole(*s)).collect();
+    let missing = total.min(weights.len() * most) - parts.iter().sum::<usize>().min(total);
+    let rest = |i: usize| (shares[i] - parts[i] as f64, ties[i]);
+    let mut order: Vec<usize> = (0..parts.len()).filter(|&i| parts[i] < most).collect();
+    order.sort_by(|&a, &b| rest(b).0.total_cmp(&rest(a).0).then(rest(b).1.cmp(&rest(a).1)));
+    order.into_iter().take(missing).for_each(|i| parts[i] += 1);
+    parts
+}
+
+/// A share without its fraction; what is short of a whole one by rounding alone is one.
+pub fn whole(share: f64) -> usize {
+    (share + 1e-9) as usize
 }
 
 #[cfg(test)]
@@ -60,6 +68,21 @@
     }
 
     proptest! {
+        #[test]
+        fn more_of_one_is_less_of_no_other_and_whole_parts_stay_within(
+            total in 1usize..200, weights in prop::collection::vec(0.1f64..9.0, 2..8), more in 0.0f64..20.0, least in 0usize..3,
+        ) {
+            let before = shares(total, &weights, least, total);
+            let mut grown = weights.clone();
+            grown[0] += more;
+            let after = shares(total, &grown, least, total);
+            prop_assert!(after[0] >= before[0] - 1e-6, "{:?} {:?}", before, after);
+            prop_assert!(after[1..].iter().zip(&before[1..]).all(|(a, b)| *a <= b + 1e-6), "{:?} {:?}", before, after);
+            let ties: Vec<u64> = (0..weights.len() as u64).collect();
+            let parts = apportion(total, &weights, least, total, &ties);
+            prop_assert!(parts.iter().zip(&before).all(|(p, s)| *p >= whole(*s)));
+        }
+
         #[test]
         fn nothing_is_lost(total in 0usize..200, weights in prop::collection::vec(0.0f64..9.0, 1..12), most in 1usize..40, least in 0usize..3) {
             let ties: Vec<u64> = (0..weights.len() as u64).collect();
--- a/share/src/node.rs
+++ b/share/src/node.rs
@@ -1,11 +1,11 @@
 //! One node's part: it is told what the view has and what its pools do, and says what it uses, what it tells, and whose turn it is.
 
 use crate::demand::{Leave, Meter};
-use crate::grant::Part;
+use crate::grant::{Levels, Part, Seen};
 use crate::plan::{plan, Peer, Use, Worker};
 use crate::told::{short, Told, MOST_OUT, MOST_POOLS};
 use crate::turn::{self, Turn};
-use crate::Micros;
+use crate::{hash, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A pool that is shared.
@@ -45,11 +45,17 @@
     pool: Pool,
     meter: Meter,
     parts: Vec<Part>,
+    seen: Seen,
     plan: Vec<Use>,
     /// Its part of all the load.
     part: f64,
 }
 
+/// Whether all nodes use all workers of a tier.
+fn all_use(pool: &Pool, tier: u32) -> bool {
+    pool.workers.iter().filter(|w| w.tier == tier).count() <= pool.subset
+}
+
 /// The node.
 pub struct Node {
     name: String,
@@ -57,6 +63,7 @@
     entries: Vec<Entry>,
     members: Vec<Member>,
     leave: Leave,
+    told_at: Micros,
     told: Told,
     /// Workers that are left out here.
     out: BTreeSet<(usize, usize)>,
@@ -78,6 +85,7 @@
             entries: Vec::new(),
             members: Vec::new(),
             leave: Leave::new(now),
+            told_at: Micros::MIN / 2,
             told: Told::default(),
             out: BTreeSet::new(),
             outs: BTreeMap::new(),
@@ -103,7 +111,8 @@
             };
             let parts = pool.workers.iter().map(part).collect();
             let meter = old.as_ref().map_or(Meter::new(now), |o| o.meter.clone());
-            self.entries.push(Entry { pool, meter, parts, plan: Vec::new(), part: 1.0 });
+            let seen = old.map_or(Seen::new(now), |o| o.seen);
+            self.entries.push(Entry { pool, meter, parts, seen, plan: Vec::new(), part: 1.0 });
         }
         self.out.clear();
         self.tell_now();
@@ -163,6 +172,7 @@
             for (part, one) in entry.parts.iter_mut().zip(&entry.plan) {
                 part.set(now, if one.inside { one.most_runs } else { 1 });
             }
+            entry.seen.set(now, peers.into_iter().map(|p| (p.name, p.level)).collect::<Levels>());
         }
     }
 
@@ -177,7 +187,10 @@
     pub fn tick(&mut self, now: Micros) -> bool {
         let mut new = std::mem::take(&mut self.stale);
         let news: Vec<_> = self.entries.iter_mut().map(|e| (e.meter.tick(now), e.meter.news()).1).collect();
-        if news.iter().any(Option::is_some) && self.leave.take(now, self.members.len()) {
+        // Nobody tells two things within the time that news takes: the others would miss the first.
+        let may = now > self.told_at.saturating_add(self.times.hold);
+        if may && news.iter().any(Option::is_some) && self.leave.take(now, self.members.len()) {
+            self.told_at = now;
             for (entry, news) in self.entries.iter_mut().zip(news) {
                 news.into_iter().for_each(|level| entry.meter.tell(level));
             }
@@ -213,11 +226,20 @@
     pub fn uses(&mut self, now: Micros, pool: usize) -> Vec<Use> {
         let (hold, alone) = (self.times.hold, self.alone);
         let Some(entry) = self.entries.get_mut(pool) else { return Vec::new() };
-        let of = |(one, part): (&Use, &mut Part)| {
-            let most_runs = if alone { 1 } else { part.get(now, hold).max(1) };
-            Use { most_runs, ..*one }
+        entry.seen.quiet(now, hold);
+        let Entry { pool, parts, seen, plan, .. } = entry;
+        let of = |((one, part), worker): ((&Use, &mut Part), &Worker)| {
+            let most_runs = match () {
+                () if alone => 1,
+                // Each tier that all use by itself; the loads are the same for all its workers.
+                () if all_use(pool, worker.tier) => {
+                    seen.part(&self.name, worker.most_runs, |name| hash(&[name, &worker.name]))
+                }
+                () => part.get(now, hold),
+            };
+            Use { most_runs: most_runs.max(1), ..*one }
         };
-        entry.plan.iter().zip(&mut entry.parts).map(of).collect()
+        plan.iter().zip(parts).zip(&pool.workers).map(of).collect()
     }
 
     /// Its part of what is divided by load.
