Make the core and the wire packages of their own, which the compiler keeps apart

node/ held nearly half of all code, and only discipline kept core/ from sockets and wire/ from decisions.

--- a/node/src/core/keys.rs
+++ b/core/src/keys.rs
@@ -222,6 +222,11 @@
         }
     }
 
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Entries in the table.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/node/src/life/store.rs
+++ b/node/src/life/store.rs
@@ -1,12 +1,12 @@
 //! Opens the store at the start, and has the core take over what it holds.
 
 use super::operator::{OnDamage, Store};
-use crate::core::durable::Durable;
 use crate::log::log;
 use crate::net::hub::Shared;
 use crate::net::store;
 use async_executor::LocalExecutor;
 use pipitlever::Micros;
+use pipitlever_core::durable::Durable;
 use pipitlever_store::disk::{Disk, Thread};
 use pipitlever_store::gate::{Gate, Rules};
 use pipitlever_store::log::{Found, Limits, Log};
--- a/node/src/net/calls.rs
+++ b/node/src/net/calls.rs
@@ -1,8 +1,8 @@
 //! The calls to the ledger, as far as they are kept in memory.
 
 use super::nudge::Nudge;
-use crate::core::Reference;
 use pipitlever::Micros;
+use pipitlever_core::Reference;
 use pipitlever_reactor::Async;
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -8,18 +8,18 @@
 use super::places::{Front, Place, Places};
 use super::pools::{Job, Pools, Put};
 use super::routes::{Backend, Named, Uwsgi};
-use crate::core::classes::Seat;
-use crate::core::counters::Files;
-use crate::core::durable::Durable;
-use crate::core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference, Rejected};
 use crate::log::log;
-use crate::wire::jsonrpc::{self, Code, Message, Work};
-use crate::wire::processor::{Command, Notice, RunEnd};
-use crate::wire::uwsgi::{self, Packet, Response, Status};
 use pipitlever::{Idempotency, Micros, Outcome, Settings};
+use pipitlever_core::classes::Seat;
+use pipitlever_core::counters::Files;
+use pipitlever_core::durable::Durable;
+use pipitlever_core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference, Rejected};
 use pipitlever_handover::predecessor::Predecessor;
 use pipitlever_store::record::Salt;
 use pipitlever_store::recovery::Recovered;
+use pipitlever_wire::jsonrpc::{self, Code, Message, Work};
+use pipitlever_wire::processor::{Command, Notice, RunEnd};
+use pipitlever_wire::uwsgi::{self, Packet, Response, Status};
 use std::cell::RefCell;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -357,7 +357,7 @@
             },
             Front::Uwsgi => match answer {
                 Answer::Served(result) if worked => {
-                    crate::copied(result.len());
+                    pipitlever_wire::copied(result.len());
                     out.extend_from_slice(&result);
                 }
                 Answer::Served(result) => uwsgi::response(out, Status::Ok, None, &result),
--- a/node/src/net/ledger.rs
+++ b/node/src/net/ledger.rs
@@ -4,11 +4,11 @@
 use super::calls::{Idle, ToPost};
 use super::hub::Shared;
 use super::{ahead, by};
-use crate::wire::ledger::{post, CallEnd, Replies};
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use pipitlever::Outcome;
 use pipitlever_reactor::{Async, Timer};
+use pipitlever_wire::ledger::{post, CallEnd, Replies};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
@@ -123,7 +123,7 @@
         };
         machine.feed(&bytes[..n?.ok().filter(|&n| n > 0)?]);
         loop {
-            match machine.next() {
+            match machine.take() {
                 Ok(Some((id, end, reply))) if id == reference => {
                     return Some((end, reply, alone && machine.is_empty()));
                 }
--- a/node/src/net/link.rs
+++ b/node/src/net/link.rs
@@ -1,9 +1,9 @@
 //! The link to the processor, as far as it is kept in memory: what waits, what is written, what may be lost.
 
 use super::nudge::Nudge;
-use crate::core::{Core, Reference};
-use crate::wire::processor;
 use pipitlever::Micros;
+use pipitlever_core::{Core, Reference};
+use pipitlever_wire::processor;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/node/src/net/membership.rs
+++ b/node/src/net/membership.rs
@@ -2,7 +2,7 @@
 
 use super::hub::Shared;
 use super::{ahead, by};
-use crate::wire::membership::report;
+use pipitlever_wire::membership::report;
 use std::net::{SocketAddr, UdpSocket};
 
 /// Time between reports, in milliseconds. Reports get lost: where one in four does, four in a row within the
--- a/node/src/net/places.rs
+++ b/node/src/net/places.rs
@@ -2,8 +2,8 @@
 //! written. Places are few, and everything that waits is bounded.
 
 use super::nudge::Nudge;
-use crate::core::{Origin, Reference};
 use pipitlever::Micros;
+use pipitlever_core::{Origin, Reference};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/node/src/net/processor.rs
+++ b/node/src/net/processor.rs
@@ -3,9 +3,9 @@
 use super::hub::Shared;
 use super::{ahead, by};
 use crate::log::log;
-use crate::wire::processor::Processor;
 use futures_lite::future;
 use pipitlever_reactor::{Async, Timer};
+use pipitlever_wire::processor::Processor;
 use std::net::TcpStream;
 
 /// An old link says within this time, in milliseconds, that it has read everything, or is left without.
@@ -58,7 +58,7 @@
         }
         machine.feed(&bytes[..n]);
         loop {
-            match machine.next() {
+            match machine.take() {
                 Ok(Some(notice)) => hub.borrow_mut().notice(notice),
                 Ok(None) => break,
                 Err(_) => {
--- a/node/src/wire/ledger.rs
+++ b/wire/src/ledger.rs
@@ -36,7 +36,7 @@
     }
 
     /// The next reply: the request, how its call ended, and what came back.
-    pub fn next(&mut self) -> Result<Option<(u64, CallEnd, Vec<u8>)>, Malformed> {
+    pub fn take(&mut self) -> Result<Option<(u64, CallEnd, Vec<u8>)>, Malformed> {
         let has_body = |line: &str| line.split(' ').nth(1) == Some("posted");
         let Some((line, body)) = self.framed.next(has_body)? else { return Ok(None) };
         let mut words = line.split(' ');
@@ -84,7 +84,7 @@
         for (text, expected) in cases {
             let mut replies = Replies::default();
             replies.feed(text.as_bytes());
-            assert_eq!(replies.next(), expected, "{text:?}");
+            assert_eq!(replies.take(), expected, "{text:?}");
         }
         assert_eq!(post(id, 250, b"ab"), b"post 9b1f03aa5c7e2d41 250 2\r\nab\r\n");
     }
--- a/node/src/wire/mod.rs
+++ b/wire/src/lib.rs
@@ -7,6 +7,20 @@
 pub mod processor;
 pub mod uwsgi;
 
+/// Bytes that were copied on the way of requests: from what was read into a connection's buffer, to what is shared,
+/// to the batch, and back into the answer. What the system copies is not among them. Counted with the feature
+/// `count` alone.
+#[cfg(feature = "count")]
+pub static COPIED: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+
+/// So many bytes are copied.
+#[inline]
+pub fn copied(bytes: usize) {
+    #[cfg(feature = "count")]
+    COPIED.fetch_add(bytes as u64, std::sync::atomic::Ordering::Relaxed);
+    let _ = bytes;
+}
+
 /// A name of 16 lower-case hex digits, as a number.
 pub fn reference(word: &str) -> Option<u64> {
     let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
--- a/node/src/wire/processor.rs
+++ b/wire/src/processor.rs
@@ -32,15 +32,44 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
     /// It is up, since so many milliseconds; it was cold (`starting`) at its start or not.
-    Hi { cold: bool, ms: f64 },
+    Hi {
+        /// It has just begun, and is slow.
+        cold: bool,
+        /// For so long it has been there, in milliseconds.
+        ms: f64,
+    },
     /// A run is over after so many milliseconds.
-    Complete { id: u64, end: RunEnd, ms: f64, result: Rc<[u8]> },
+    Complete {
+        /// The run.
+        id: u64,
+        /// How it ended.
+        end: RunEnd,
+        /// Its time on the cores, in milliseconds.
+        ms: f64,
+        /// Its result.
+        result: Rc<[u8]>,
+    },
     /// A run waits for a call with this body.
-    Ask { id: u64, body: Rc<[u8]> },
+    Ask {
+        /// The run.
+        id: u64,
+        /// What it asks.
+        body: Rc<[u8]>,
+    },
     /// The gauges, in the order of the settings, and the number of the question that asked for them.
-    Used { question: Option<u64>, gauges: Figures },
+    Used {
+        /// The question.
+        question: Option<u64>,
+        /// The gauges.
+        gauges: Figures,
+    },
     /// A command was not carried out.
-    Reject { command: Command, id: u64 },
+    Reject {
+        /// The command.
+        command: Command,
+        /// The run that it was about.
+        id: u64,
+    },
 }
 
 /// The most gauges that are looked at: the settings name a handful.
@@ -87,7 +116,7 @@
     }
 
     /// The next notice. One that was seen before is skipped: a new link repeats what it is not sure of.
-    pub fn next(&mut self) -> Result<Option<Notice>, Malformed> {
+    pub fn take(&mut self) -> Result<Option<Notice>, Malformed> {
         // Only some notices carry a body: a run that ended otherwise than well may come without its length.
         let has_body = |line: &str| match line.split(' ').next() {
             Some("complete") => line.split(' ').count() == 6,
@@ -249,11 +278,11 @@
         for (text, expected) in cases {
             let mut whole = Processor::default();
             whole.feed(text.as_bytes());
-            assert_eq!(whole.next(), expected, "{text:?}");
+            assert_eq!(whole.take(), expected, "{text:?}");
             let mut pieces = Processor::default();
             let found = text.bytes().map(|b| {
                 pieces.feed(&[b]);
-                pieces.next()
+                pieces.take()
             });
             let found = found.into_iter().find(|f| *f != Ok(None)).unwrap_or(Ok(None));
             assert_eq!(found, expected, "{text:?} in pieces");
@@ -264,7 +293,7 @@
     fn a_line_without_end_breaks_the_link() {
         let mut processor = Processor::default();
         processor.feed(&[b'x'; 2000]);
-        assert_eq!(processor.next(), Err(Malformed));
+        assert_eq!(processor.take(), Err(Malformed));
     }
 
     #[test]
@@ -272,12 +301,12 @@
         let mut processor = Processor::default();
         assert_eq!(processor.hello(), b"hello 0\r\n");
         processor.feed(b"complete 1 821b2d98a3d2e319 fine 7 1\r\na\r\nask 2 821b");
-        assert_eq!(processor.next(), Ok(Some(complete(RunEnd::Fine, 7.0, b"a"))));
-        assert_eq!(processor.next(), Ok(None));
+        assert_eq!(processor.take(), Ok(Some(complete(RunEnd::Fine, 7.0, b"a"))));
+        assert_eq!(processor.take(), Ok(None));
         // What the old link left unfinished is forgotten; what it brought whole is not taken again.
         assert_eq!(processor.hello(), b"hello 1\r\n");
         processor.feed(b"complete 1 821b2d98a3d2e319 fine 7 1\r\na\r\nask 2 821b2d98a3d2e319 0\r\n\r\n");
-        assert_eq!(processor.next(), Ok(Some(Notice::Ask { id: ID, body: Rc::from([]) })));
-        assert_eq!(processor.next(), Ok(None));
+        assert_eq!(processor.take(), Ok(Some(Notice::Ask { id: ID, body: Rc::from([]) })));
+        assert_eq!(processor.take(), Ok(None));
     }
 }
--- a/node/src/wire/uwsgi.rs
+++ b/wire/src/uwsgi.rs
@@ -306,7 +306,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::wire::Malformed;
+    use crate::Malformed;
 
     #[test]
     fn a_packet_is_read_in_pieces_as_it_was_written() {
