--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -224,7 +224,7 @@
     assert_eq!(taken, ((8 << 10) - 512 - 4096) / 612 + 1);
     // All of it is given back with the window.
     core.wake(60 * SECOND);
-    assert!(core.keys.len() == 0 && !core.keys.full() && core.taken == 0);
+    assert!(core.keys.is_empty() && !core.keys.full() && core.taken == 0);
 }
 
 mod store {
