--- a/affinity/src/lookup.rs
+++ b/affinity/src/lookup.rs
@@ -30,7 +30,7 @@
 }
 
 /// Those who have not answered are asked again so often, in microseconds.
-pub const AGAIN: Micros = 12_000;
+pub const AGAIN: Micros = 8_000;
 
 /// What has come of a question.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/share/src/node/tests.rs
+++ b/share/src/node/tests.rs
@@ -87,3 +87,19 @@
     assert_eq!((second.found_well(), second.turn(0, 1)), (vec![(0, 1)], Turn::Mine));
     assert!(second.found_well().is_empty());
 }
+
+#[test]
+fn nobody_tells_two_things_within_the_time_that_news_takes() {
+    let mut node = Node::new("a", TIMES, vec![pool(60)], 0);
+    node.view(0, vec![member("a", 0), member("b", 0)], false);
+    let mut told = Vec::new();
+    for t in 1..100 {
+        node.count(0, t as u64 * t as u64);
+        let before = node.told().clone();
+        node.tick(t * S / 10);
+        if *node.told() != before {
+            told.push(t);
+        }
+    }
+    assert!(told.len() > 2 && told.windows(2).all(|w| w[1] - w[0] > 10), "{told:?}");
+}
