--- a/node/src/net/sessions.rs
+++ b/node/src/net/sessions.rs
@@ -237,6 +237,25 @@
         self.address(&node, number, Found::At(next))
     }
 
+    /// Counts and what is remembered, for the door's figures.
+    pub fn figures(&self, text: &mut String) {
+        use std::fmt::Write;
+        let node = self.node.borrow();
+        let sum = |of: fn(&Moves) -> u64| node.pools().iter().map(|p| of(&p.moves)).sum::<u64>();
+        let counts = [
+            ("placed", sum(|m| m.placed)),
+            ("moved_removed", sum(|m| m.removed)),
+            ("moved_failed", sum(|m| m.failed)),
+            ("moved_unreachable", sum(|m| m.unreachable)),
+            ("turned_down", node.table().turned_down),
+        ];
+        for (name, value) in counts {
+            // A string takes all that is written to it.
+            let _ = writeln!(text, "edge.sessions.{name}:{value}|c");
+        }
+        let _ = writeln!(text, "edge.sessions.remembered:{}|g", node.table().len());
+    }
+
     /// How it stands, for the door.
     pub fn view(&self) -> Value {
         let node = self.node.borrow();
--- a/node/src/net/share.rs
+++ b/node/src/net/share.rs
@@ -134,6 +134,20 @@
         self.node.borrow().told().write()
     }
 
+    /// What it has of each pool, for the door's figures.
+    pub fn figures(&self, now: i64, text: &mut String) {
+        use std::fmt::Write;
+        let mut node = self.node.borrow_mut();
+        for (i, given) in self.given.borrow().iter().enumerate() {
+            let uses = node.uses(now, i);
+            let runs: usize = uses.iter().filter(|u| u.inside).map(|u| u.most_runs).sum();
+            let workers = uses.iter().filter(|u| u.inside).count();
+            let name = &self.files.borrow()[given.pool].name;
+            // A string takes all that is written to it.
+            let _ = writeln!(text, "edge.share.{name}.runs:{runs}|g\nedge.share.{name}.workers:{workers}|g");
+        }
+    }
+
     /// How it stands, for the door.
     pub fn view(&self, now: i64) -> Value {
         let mut node = self.node.borrow_mut();
--- a/node/tests/sessions.rs
+++ b/node/tests/sessions.rs
@@ -328,6 +328,14 @@
             assert_eq!(ask(*front, *session).as_deref(), Ok(worker.as_str()), "{session}");
         }
     }
+    let door = site.cluster.nodes[0].process.as_ref().unwrap().door;
+    let figures = pipitlever_rig::processes::call(door, "GET /status/metrics").unwrap().1;
+    assert!(figures.contains("edge.sessions.remembered:"), "{figures}");
+    let output = Command::new(PROGRAM)
+        .args(["fleet", "sessions", "--worker", "w2", "--at", &door.to_string()])
+        .output();
+    let output = String::from_utf8(output.unwrap().stdout).unwrap();
+    assert!(output.contains("w2") && !output.contains("w3"), "{output}");
     let view: Value = site.cluster.view(0).unwrap();
     assert!(view["sessions"]["pools"][0]["workers"]["w2"].as_u64().is_some_and(|n| n > 0), "{view}");
 }
