--- a/affinity/src/node/mod.rs
+++ b/affinity/src/node/mod.rs
@@ -369,3 +369,6 @@
         state.names.iter().map(|(id, name)| (name.clone(), count(*id))).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/share/mutants.sh
+++ b/share/mutants.sh
@@ -6,10 +6,10 @@
 processes='-p pipitlever-node --test share'
 src=share/src
 mutant 'more holds at once' $src/grant.rs 'if self.held.len() == 1 {' 'if true {' $model
-mutant 'who was there before is forgotten' $src/grant.rs 'for (levels, _) in &self.held {' 'for (levels, _) in self.held.iter().rev().take(1) {' $model
+mutant 'who was there before is forgotten' $src/grant.rs 'for (levels, _) in &self.held {' 'for (levels, _) in self.held.iter().rev().take(1) {' $unit
 mutant 'its own load counts as it is now' $src/grant.rs 'f64::MAX, f64::min' '0.0, f64::max' $model
 mutant 'less holds later' $src/grant.rs 'while self.held.back().is_some_and(|(more, _)| *more >= part) {' 'while false {' $unit
-mutant 'a newcomer takes its part at once' $src/node.rs 'map_or(Seen::new(now)' 'map_or(Seen::new(now - 1_000_000_000)' $unit
+mutant 'a newcomer takes its part at once' $src/grant.rs 'levels.get(me).map_or(0.0' 'levels.get(me).map_or(f64::MAX' $unit
 mutant 'what a dead node had is given away' $src/node.rs 'm.down.is_none_or(|since| since > gone)' 'm.down.is_none()' $unit
 mutant 'one that is cut off keeps all' $src/node.rs '() if alone => 1,' '() if false => 1,' $unit
 mutant 'nodes have no room' $src/subset.rs 'room[j] > 0 && places[i] > 0' 'places[i] > 0' $unit
--- a/share/src/grant.rs
+++ b/share/src/grant.rs
@@ -121,6 +121,23 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_another_lets_go_of_is_had_once_all_have_heard_of_it() {
+        let levels = |b: u8| Levels::from([("a".to_owned(), 4), ("b".to_owned(), b)]);
+        let part = |seen: &mut Seen, now| {
+            seen.quiet(now, 10);
+            seen.part("a", 10, |_| 0)
+        };
+        let mut seen = Seen::new(0);
+        seen.set(0, levels(4));
+        assert_eq!((part(&mut seen, 10), part(&mut seen, 11)), (1, 5), "it has just come");
+        seen.set(20, levels(0));
+        assert_eq!((part(&mut seen, 30), part(&mut seen, 31)), (5, 8));
+        // What another wants counts at once.
+        seen.set(40, levels(8));
+        assert_eq!(part(&mut seen, 40), 2);
+    }
+
     #[test]
     fn less_holds_at_once_and_more_later() {
         let mut part = Part::new(1, 0);
