--- a/node/src/net/pools.rs
+++ b/node/src/net/pools.rs
@@ -283,7 +283,7 @@
         let mut pools = Pools::new(vec![Named { members, labels, shared, ..Named::default() }], 1, 0);
         let reference = Reference::default();
         let job = Job { reference, safe: true, pool: 0, sticky: false, packet: Rc::from([]), until: 1 << 40 };
-        let mut places =
+        let places =
             |pools: &mut Pools, now| (0..9).filter(|_| pools.place(now, &job, None, &[]).is_some()).count();
         // Before it has looked at the view it has one as well.
         assert_eq!(places(&mut pools, 0), 1);
