Let no run wait for word of its session once another process took over

Seen by a new test, a_replacement_moves_nobody_and_answers_all: forty sessions in the old process's hands, a successor takes over, and `18: HTTP/1.1 504 Gateway Timeout` after 4.0 s, the request's whole time. A run that starts after Part::pause asked for its session by datagrams that nobody reads any more, and waited for ever for the answer (net/fleet.rs, session: receiver.recv()); the core gave the request up at its due time, and the run's task stayed. Paused, a process goes by what it remembers, and refuses as never run what it doesn't know (Node::recall): a first try that placed such sessions by the newest weights moved them (`left: "w2", right: "w0"`). Those that wait as it pauses are let go.

Also: whether this node is a home is looked up only where that matters, not for each request; three tests share rig's Spec::new.

--- a/affinity/src/node/mod.rs
+++ b/affinity/src/node/mod.rs
@@ -151,15 +151,14 @@
         if let Some((placement, fresh)) = self.table.get(now, session) {
             self.table.touch(now, session);
             // Its homes are told of each move. Others hold what they have against them where they have not of late.
-            let home = self.homes.has(session, &self.name);
-            if fresh || home {
-                if !fresh {
-                    self.table.check(now, session);
-                    self.ask(now, session, 0);
-                }
+            if fresh {
                 return self.settle(now, pool, session, placement);
             }
             self.table.check(now, session);
+            if self.homes.has(session, &self.name) {
+                self.ask(now, session, 0);
+                return self.settle(now, pool, session, placement);
+            }
         }
         if self.questions.join(session, waiting) {
             return Found::Asked;
@@ -189,6 +188,15 @@
         }
     }
 
+    /// The same by what is known here alone, without a word to anybody: for a process that another one of its node has taken over from. Of
+    /// what it doesn't know it says nothing: whoever comes again finds the other process.
+    pub fn recall(&self, now: Micros, pool: usize, what: What) -> Found {
+        let Some((session, at)) = self.pools.get(pool).map(|p| what.id(p.id)) else { return Found::Nowhere };
+        let held = self.table.get(now, session).map(|(p, _)| p.worker).or(at);
+        let stays = held.filter(|worker| self.pools[pool].leaves(now, *worker).is_none());
+        stays.map_or(Found::Nowhere, Found::At)
+    }
+
     fn ask(&mut self, now: Micros, session: Session, ticket: u32) {
         let message = Message::Ask { time: self.time.read(now), ticket, session }.write();
         let others = self.homes.first(session, ASKED).into_iter().filter(|h| *h != self.name);
--- a/affinity/src/node/tests.rs
+++ b/affinity/src/node/tests.rs
@@ -89,3 +89,18 @@
     assert!(matches!(node.want(8 * S, 0, What::Session(1), 1), Found::At(w) if w != worker));
     assert_eq!(node.pools[0].moves.removed, 1);
 }
+
+#[test]
+fn what_is_recalled_is_known_here_or_nothing() {
+    let mut node = node(&["a", "b"]);
+    node.view(0, Vec::new(), true);
+    let Found::At(worker) = node.want(0, 0, What::Session(1), 1) else { panic!("it is alone") };
+    assert_eq!(node.recall(0, 0, What::Session(1)), Found::At(worker));
+    assert_eq!(node.recall(0, 0, What::Session(2)), Found::Nowhere, "another process knows it, or will");
+    // A key that comes for the first time goes with its session.
+    assert_eq!(node.recall(0, 0, What::Key(5, worker)), Found::At(worker));
+    let other = node.pools[0].workers.iter().find(|w| w.id != worker).unwrap().id;
+    node.set_pools(0, 1, vec![pool(if node.pools[0].id(0) == Some(other) { &["a"] } else { &["b"] })]);
+    assert_eq!(node.recall(0, 0, What::Session(1)), Found::Nowhere, "and it moves none");
+    assert_eq!(node.recall(0, 3, What::Session(1)), Found::Nowhere);
+}
--- a/node/src/net/fleet.rs
+++ b/node/src/net/fleet.rs
@@ -265,6 +265,7 @@
     /// Takes part again, after another process of the node has for a while.
     pub fn resume(self: &Rc<Part>) {
         self.versions.iter().for_each(|versions| versions.resume(self.clock.now()));
+        self.affinity.iter().for_each(|sessions| sessions.pause(false));
         self.start();
     }
 
@@ -282,6 +283,7 @@
     /// Another process of the node is the member from now on: nothing is read any more that is for it.
     pub fn pause(&self) {
         self.tasks.borrow_mut().clear();
+        self.affinity.iter().for_each(|sessions| sessions.pause(true));
     }
 
     /// What that process goes on with.
@@ -414,8 +416,7 @@
             }
             Err(waiting) => {
                 self.turn(|_, _| ());
-                let found = waiting.receiver.recv().await.ok()?;
-                sessions.came(&waiting, found)
+                sessions.wait(|| self.clock.now(), waiting).await
             }
         }
     }
--- a/node/src/net/sessions.rs
+++ b/node/src/net/sessions.rs
@@ -39,6 +39,8 @@
     /// Moves as they were last told of in the log, and when.
     told: RefCell<(Vec<Moves>, i64)>,
     last: Cell<u64>,
+    /// Another process of this node is the member: nothing is said or heard here any more.
+    paused: Cell<bool>,
     hub: Shared,
 }
 
@@ -86,6 +88,7 @@
             waiting: RefCell::default(),
             told: RefCell::default(),
             last: Cell::new(0),
+            paused: Cell::new(false),
             hub: hub.clone(),
         })
     }
@@ -192,12 +195,16 @@
         else {
             return Ok(None);
         };
+        if self.paused.get() {
+            let found = node.recall(now, number, what);
+            return Ok(self.address(&node, number, found));
+        }
         self.last.set(self.last.get() + 1);
         match node.want(now, number, what, self.last.get()) {
             Found::Asked => {
                 let (sender, receiver) = async_channel::bounded(1);
                 self.waiting.borrow_mut().insert(self.last.get(), sender);
-                Err(Waiting { number, receiver })
+                Err(Waiting { number, what, receiver })
             }
             found => Ok(self.address(&node, number, found)),
         }
@@ -222,9 +229,19 @@
         self.files.borrow()[number].1.members.get(at).map(|m| m.address)
     }
 
-    /// What came by the channel.
-    pub fn came(&self, waiting: &Waiting, found: Found) -> Option<SocketAddr> {
-        self.address(&self.node.borrow(), waiting.number, found)
+    /// What came for a request that waited; where nothing will any more, by what is known here.
+    pub async fn wait(&self, now: impl Fn() -> i64, waiting: Waiting) -> Option<SocketAddr> {
+        let Waiting { number, what, receiver } = waiting;
+        let came = receiver.recv().await;
+        let node = self.node.borrow();
+        let found = came.unwrap_or_else(|_| node.recall(now(), number, what));
+        self.address(&node, number, found)
+    }
+
+    /// Another process of this node is the member from now on, or is no more. Nobody waits for word that can't come.
+    pub fn pause(&self, paused: bool) {
+        self.paused.set(paused);
+        self.waiting.borrow_mut().clear();
     }
 
     /// A run could not begin at a session's worker: where it goes instead, if anywhere.
@@ -286,8 +303,8 @@
 /// A request that waits for word of its session.
 pub struct Waiting {
     number: usize,
-    /// Where it comes.
-    pub receiver: async_channel::Receiver<Found>,
+    what: What,
+    receiver: async_channel::Receiver<Found>,
 }
 
 /// The others that take part. One that is suspected still does.
--- a/node/tests/sessions.rs
+++ b/node/tests/sessions.rs
@@ -17,9 +17,11 @@
 
 const NODES: usize = 5;
 const PATIENCE_MS: u64 = 1_500;
+/// Cores for all that the clients ask for.
+const CORES: usize = 40;
 
-/// A stand-in worker that answers with its name, until it is closed.
-fn desk(name: &str) -> (SocketAddr, Arc<AtomicBool>) {
+/// A stand-in worker that answers with its name after so long, until it is closed.
+fn desk(name: &str, takes: Duration) -> (SocketAddr, Arc<AtomicBool>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (at, closed, name) = (listener.local_addr().unwrap(), Arc::<AtomicBool>::default(), name.to_owned());
     let gone = closed.clone();
@@ -32,8 +34,12 @@
             }
             // One that was killed meanwhile has sent a part at the most.
             let Some((mut stream, _)) = Worker::try_read(stream) else { continue };
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", name.len());
-            let _ = stream.write_all(&[head.as_bytes(), name.as_bytes()].concat());
+            let name = name.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(takes);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", name.len());
+                let _ = stream.write_all(&[head.as_bytes(), name.as_bytes()].concat());
+            });
         }
     });
     (at, closed)
@@ -64,25 +70,18 @@
 }
 
 impl Site {
-    fn new(name: &str, desks: &Desks) -> Site {
+    /// `cpus`: runs that a node may have at once follow from it.
+    fn new(name: &str, desks: &Desks, cpus: usize) -> Site {
         let folder = Scratch::new(name);
         std::fs::create_dir_all(&folder.0).unwrap();
         let electors = "electors = [\"n0\", \"n1\", \"n2\"]\nlease_ms = 3000\n";
         let mut config = configuration(&json!({}));
-        // Cores for all that the clients ask for.
-        config["settings"]["familyInfo"]["cpus"] = json!(40);
-        let spec = Spec {
-            program: PROGRAM.into(),
-            config,
-            folder: folder.0.clone(),
-            probe_ms: 200,
-            seeds: Vec::new(),
-            fleet: true,
-            more: format!(
-                "[fleet.versions]\nfolder = \"FOLDER/versions\"\n{electors}{}",
-                operator("desks", "", desks)
-            ),
-        };
+        config["settings"]["familyInfo"]["cpus"] = json!(cpus);
+        let more = format!(
+            "[fleet.versions]\nfolder = \"FOLDER/versions\"\n{electors}{}",
+            operator("desks", "", desks)
+        );
+        let spec = Spec::new(PROGRAM, config, folder.0.clone(), more);
         let cluster = Cluster::settled(spec, NODES);
         let site = Site { cluster, folder, fronts: Arc::new(Mutex::new(vec![None; NODES])) };
         (0..NODES).for_each(|i| site.found(i));
@@ -220,7 +219,7 @@
 
 fn desks(names: std::ops::Range<usize>) -> (Desks, Vec<Arc<AtomicBool>>) {
     let desk = |i: usize| {
-        let (at, closed) = desk(&format!("w{i}"));
+        let (at, closed) = desk(&format!("w{i}"), Duration::ZERO);
         ((format!("w{i}"), at, 1.0, ""), closed)
     };
     names.map(desk).unzip()
@@ -229,7 +228,7 @@
 #[test]
 fn nobody_moves_while_the_worker_stays_a_member() {
     let (mut all, _) = desks(0..5);
-    let mut site = Site::new("sessions-stay", &all);
+    let mut site = Site::new("sessions-stay", &all, CORES);
     let clients = Clients::start(&site, 0..200);
     let settle = Duration::from_millis(600);
     std::thread::sleep(settle);
@@ -255,7 +254,7 @@
         std::thread::sleep(settle);
     }
     // A worker moves to another machine: it is known by its name.
-    let moved = desk(&all[0].0);
+    let moved = desk(&all[0].0, Duration::ZERO);
     all[0].1 = moved.0;
     site.publish(0, "another machine", &operator("counters", "\"desks\"", &all));
     site.acts(&[0, 1, 2, 3, 4], 3);
@@ -272,10 +271,64 @@
     assert!(["w5", "w6"].iter().all(|w| new.iter().any(|n| n == w)), "{new:?}");
 }
 
+/// A process takes over from another one, which has more in hand than it may run: sessions stay, and none of it waits for word that
+/// never comes.
+#[test]
+fn a_replacement_moves_nobody_and_answers_all() {
+    let takes = Duration::from_millis(100);
+    let mut all: Desks =
+        (0..4).map(|i| (format!("w{i}"), desk(&format!("w{i}"), takes).0, 1.0, "")).collect();
+    let mut site = Site::new("sessions-replaced", &all, 1);
+    let fronts =
+        |site: &Site| -> Vec<SocketAddr> { site.fronts.lock().unwrap().iter().flatten().copied().collect() };
+    // Each session is known to all nodes by now, and to none within the last second.
+    let ask_all = |fronts: &[SocketAddr], at: Option<usize>| -> Vec<Result<String, String>> {
+        let asked = (0..40).map(|s| (fronts[at.unwrap_or(s % NODES)], s));
+        let threads: Vec<_> = asked.map(|(f, s)| std::thread::spawn(move || ask(f, s))).collect();
+        threads.into_iter().map(|t| t.join().unwrap()).collect()
+    };
+    let mut homes: BTreeMap<usize, String> = BTreeMap::new();
+    while homes.len() < 40 {
+        let heard = ask_all(&fronts(&site), None);
+        homes.extend(heard.into_iter().enumerate().filter_map(|(s, h)| Some((s, h.ok()?))));
+    }
+    // Where a new session would go is another matter than where one lives.
+    all.iter_mut().enumerate().for_each(|(i, d)| d.2 = 0.2 + 2.0 * i as f64);
+    site.publish(0, "other weights", &operator("desks", "", &all));
+    site.acts(&[0, 1, 2, 3, 4], 1);
+    std::thread::sleep(Duration::from_millis(2_100));
+    for node in [1, 3] {
+        let listen = site.cluster.nodes[node].process.as_ref().unwrap().gateways;
+        // It runs a few of these at a time, and most of them once it is not the member any more.
+        let known = fronts(&site);
+        let (asked, begun) = (ask_all, Instant::now());
+        let held = std::thread::spawn(move || (asked(&known, Some(node)), begun.elapsed()));
+        let launched = site.cluster.launch(node, &format!("n{node}"), Some(listen));
+        let successor = site.cluster.ready(launched);
+        let mut old = site.cluster.nodes[node].process.replace(successor).unwrap();
+        let (heard, took) = held.join().unwrap();
+        println!("n{node}: all had their answers after {took:?}");
+        assert!(took < Duration::from_secs(5), "{took:?}");
+        for (session, heard) in heard.into_iter().enumerate() {
+            match heard {
+                Ok(worker) => assert_eq!(worker, homes[&session], "{session}"),
+                Err(why) => assert!(why.contains("503"), "{session}: {why}"),
+            }
+        }
+        site.found(node);
+        old.signal("-TERM");
+        assert_eq!(old.wait().code(), Some(0));
+    }
+    site.cluster.wait("all have what they are to remember", |c| (0..NODES).all(|i| filled(c, i)));
+    for heard in ask_all(&fronts(&site), None).into_iter().enumerate() {
+        assert!(heard.1.as_ref().is_ok_and(|w| *w == homes[&heard.0]) || heard.1.is_err(), "{heard:?}");
+    }
+}
+
 #[test]
 fn sessions_of_a_worker_that_goes_or_fails_move_alone() {
     let (mut all, closed) = desks(0..5);
-    let site = Site::new("sessions-move", &all);
+    let site = Site::new("sessions-move", &all, CORES);
     let clients = Clients::start(&site, 0..120);
     std::thread::sleep(Duration::from_millis(800));
     // Two nodes don't hear that w0 is gone; clients go back and forth between the halves.
--- a/node/tests/share.rs
+++ b/node/tests/share.rs
@@ -66,20 +66,13 @@
     // Cores for all that the workers may have: it is their bound that is looked at.
     config["settings"]["familyInfo"]["cpus"] = json!(40);
     let members: String = desks.iter().enumerate().map(member).collect();
-    let spec = Spec {
-        program: PROGRAM.into(),
-        config,
-        folder: folder.0.clone(),
-        probe_ms: 200,
-        seeds: Vec::new(),
-        fleet: true,
-        more: format!(
+    let more = format!(
             "share_apart = \"least\"\n\
              [fleet.versions]\nfolder = \"FOLDER/versions\"\nelectors = [\"n0\", \"n1\", \"n2\"]\nlease_ms = 1000\n\
              [[pool]]\nname = \"desks\"\nshare = true\n{more}{members}\
              [[uwsgi.route]]\npath = \"/view\"\nclass = \"rota-view\"\nbackend = \"workers\"\npool = \"desks\"\n"
-        ),
-    };
+        );
+    let spec = Spec::new(PROGRAM, config, folder.0.clone(), more);
     Cluster::settled(spec, nodes)
 }
 
--- a/node/tests/versions.rs
+++ b/node/tests/versions.rs
@@ -14,18 +14,9 @@
 
 fn cluster(folder: &Scratch, nodes: usize, more: &str) -> Cluster {
     std::fs::create_dir_all(&folder.0).unwrap();
-    let spec = Spec {
-        program: PROGRAM.into(),
-        config: configuration(&json!({})),
-        folder: folder.0.clone(),
-        probe_ms: 200,
-        seeds: Vec::new(),
-        fleet: true,
-        more: format!(
-            "[fleet.versions]\nfolder = \"FOLDER/versions\"\nelectors = [\"n0\", \"n1\", \"n2\"]\nlease_ms = 3000\n{more}"
-        ),
-    };
-    Cluster::settled(spec, nodes)
+    let electors = "electors = [\"n0\", \"n1\", \"n2\"]\nlease_ms = 3000\n";
+    let more = format!("[fleet.versions]\nfolder = \"FOLDER/versions\"\n{electors}{more}");
+    Cluster::settled(Spec::new(PROGRAM, configuration(&json!({})), folder.0.clone(), more), nodes)
 }
 
 /// `pipitlever fleet` with these words at the door of a node.
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -33,6 +33,14 @@
     pub more: String,
 }
 
+impl Spec {
+    /// Nodes of this program with these settings in a fleet that probes five times a second; `more` for the operator's file.
+    pub fn new(program: &str, config: Value, folder: PathBuf, more: String) -> Spec {
+        let program = program.into();
+        Spec { program, config, folder, probe_ms: 200, seeds: Vec::new(), fleet: true, more }
+    }
+}
+
 /// A line that a process said: when, which node, which process of it.
 #[derive(Clone, Debug)]
 pub struct Line {
