--- a/versions/tests/lease.rs
+++ b/versions/tests/lease.rs
@@ -195,8 +195,64 @@
     }
 }
 
+/// Clocks run at rates of their own, in millionths, and began at times of their own; all that is said takes its time. The first three are the
+/// electors', the next the node's, the last that of the one that closes.
+fn clocks(rates: [i64; 5], begun: [i64; 5], delays: &[i64], close_at: i64, cut: bool) {
+    let (limits, lease, electors) = (Rates::default(), 10_000_000, newest().electors);
+    let clock =
+        |who: usize, now: i64| begun[who] + now + (now as i128 * rates[who] as i128 / 1_000_000) as i64;
+    let mut leases = Leases::default();
+    let mut closer: Option<Closer> = None;
+    let mut closed_by = [false; 3];
+    let (mut held, mut promised) = (0, None);
+    // Beats on their way: when they arrive, and what they say.
+    let mut beats: Vec<(i64, Beat)> = Vec::new();
+    let mut told: Vec<(i64, usize, i64, i64)> = Vec::new();
+    for step in 0..4500i64 {
+        let now = step * 100_000;
+        let delay = |more: i64| delays[((step + more) % 64) as usize];
+        let node = clock(3, now);
+        for (e, name) in ELECTORS.iter().enumerate() {
+            // Electors speak every two seconds, unless the node is cut off after the closing.
+            if step % 20 == 0 && !(cut && closed_by[e]) {
+                let upto = if closed_by[e] { OLD + 1 } else { 0 };
+                beats.push((now + delay(e as i64), beat(e, clock(e, now), upto)));
+            }
+            let on_its_way = told.iter().any(|t| t.1 == e);
+            if !on_its_way && leases.asks(name, node, lease, limits) {
+                let (there, back) = (delay(7 + e as i64), delay(13 + e as i64));
+                told.push((now + there + back, e, node, clock(e, now + there)));
+            }
+        }
+        for (_, beat) in beats.iter().filter(|b| b.0 <= now) {
+            leases.beat(beat, &electors);
+        }
+        beats.retain(|b| b.0 > now);
+        for (_, e, asked, at) in told.iter().filter(|t| t.0 <= now) {
+            leases.told(ELECTORS[*e], 1, *at, *asked, &electors);
+        }
+        told.retain(|t| t.0 > now);
+        if now >= close_at {
+            let theirs = clock(4, now);
+            let closer = closer.get_or_insert_with(|| Closer::new(OLD + 1, newest(), theirs));
+            for (e, name) in ELECTORS.iter().enumerate().take(2) {
+                closed_by[e] = true;
+                closer.hear(theirs, name, &closed(OLD + 1), lease, limits);
+            }
+            if closer.wake(theirs, &mut Vec::new()) {
+                promised = Some(now);
+            }
+        }
+        let acts = leases.until(OLD, &newest(), lease, limits).is_some_and(|until| node < until);
+        assert!(!(acts && promised.is_some()), "it acts {} us after the promise", now - promised.unwrap());
+        // Until the closing no lease runs out, once there is one.
+        held += i64::from(acts);
+        assert!(acts || now >= close_at || now < 2_000_000, "no lease at {now}");
+    }
+    assert!(held > 0 && promised.is_some());
+}
+
 proptest! {
-    /// Clocks run at rates of their own and began at times of their own; all that is said takes its time.
     #[test]
     fn clocks_of_different_rates_keep_the_promise_and_the_lease(
         rates in prop::array::uniform5(-10_000i64..=10_000),
@@ -205,59 +261,19 @@
         close_at in 20_000_000i64..400_000_000,
         cut in any::<bool>(),
     ) {
-        let (limits, lease, electors) = (Rates::default(), 10_000_000, newest().electors);
-        // Clocks 0 to 2 are the electors', 3 the node's, 4 that of the one that closes.
-        let clock = |who: usize, now: i64| {
-            begun[who] + now + (now as i128 * rates[who] as i128 / 1_000_000) as i64
-        };
-        let mut leases = Leases::default();
-        let mut closer: Option<Closer> = None;
-        let mut closed_by = [false; 3];
-        let (mut held, mut promised) = (0, None);
-        // Beats on their way: when they arrive, and what they say.
-        let mut beats: Vec<(i64, Beat)> = Vec::new();
-        let mut told: Vec<(i64, usize, i64, i64)> = Vec::new();
-        for step in 0..4500i64 {
-            let now = step * 100_000;
-            let delay = |more: i64| delays[((step + more) % 64) as usize];
-            let node = clock(3, now);
-            for (e, name) in ELECTORS.iter().enumerate() {
-                // Electors speak every two seconds, unless the node is cut off after the closing.
-                if step % 20 == 0 && !(cut && closed_by[e]) {
-                    let upto = if closed_by[e] { OLD + 1 } else { 0 };
-                    beats.push((now + delay(e as i64), beat(e, clock(e, now), upto)));
-                }
-                let on_its_way = told.iter().any(|t| t.1 == e);
-                if !on_its_way && leases.asks(name, node, lease, limits) {
-                    let (there, back) = (delay(7 + e as i64), delay(13 + e as i64));
-                    told.push((now + there + back, e, node, clock(e, now + there)));
-                }
-            }
-            for (_, beat) in beats.iter().filter(|b| b.0 <= now) {
-                leases.beat(beat, &electors);
-            }
-            beats.retain(|b| b.0 > now);
-            for (_, e, asked, at) in told.iter().filter(|t| t.0 <= now) {
-                leases.told(ELECTORS[*e], 1, *at, *asked, &electors);
-            }
-            told.retain(|t| t.0 > now);
-            if now >= close_at {
-                let theirs = clock(4, now);
-                let closer = closer.get_or_insert_with(|| Closer::new(OLD + 1, newest(), theirs));
-                for (e, name) in ELECTORS.iter().enumerate().take(2) {
-                    closed_by[e] = true;
-                    closer.hear(theirs, name, &closed(OLD + 1), lease, limits);
-                }
-                if closer.wake(theirs, &mut Vec::new()) {
-                    promised = Some(now);
-                }
+        clocks(rates, begun, &delays, close_at, cut);
+    }
+}
+
+/// As far apart as clocks may run, with the last beat right before the closing: what random draws seldom come near.
+#[test]
+fn the_farthest_rates_keep_the_promise() {
+    for electors in [-10_000, 10_000] {
+        for (node, closer) in [(-10_000, 10_000), (10_000, -10_000), (-10_000, -10_000)] {
+            for beats in [10, 20, 30, 40, 50, 100] {
+                let rates = [electors, electors, electors, node, closer];
+                clocks(rates, [0; 5], &[0; 64], beats * 2_000_000 + 100_000, true);
             }
-            let acts = leases.until(OLD, &newest(), lease, limits).is_some_and(|until| node < until);
-            prop_assert!(!(acts && promised.is_some()), "it acts {} us after the promise", now - promised.unwrap());
-            // Until the closing no lease runs out, once there is one.
-            held += i64::from(acts);
-            prop_assert!(acts || now >= close_at || now < 2_000_000, "no lease at {now}");
         }
-        prop_assert!(held > 0 && promised.is_some());
     }
 }
