Take back what was left out when the file changes, and divide a renamed pool as before

Parts are reckoned anew when something has changed, and not for each worker four times a second. What nobody used is gone.

--- a/node/src/net/share.rs
+++ b/node/src/net/share.rs
@@ -57,7 +57,9 @@
         tier: m.tier,
         most_runs: m.most_runs,
     };
-    Some(Pool { name: file.name.clone(), subset, workers: of.map(worker).collect() })
+    // By its first name: a rename divides nothing anew.
+    let name = file.was.first().unwrap_or(&file.name).clone();
+    Some(Pool { name, subset, workers: of.map(worker).collect() })
 }
 
 impl Sharing {
--- a/share/src/node.rs
+++ b/share/src/node.rs
@@ -46,6 +46,8 @@
     meter: Meter,
     parts: Vec<Part>,
     seen: Seen,
+    /// What came of what was seen, for each worker, while nothing has changed since.
+    divided: Option<Vec<usize>>,
     plan: Vec<Use>,
     /// Its part of all the load.
     part: f64,
@@ -73,6 +75,8 @@
     well: Vec<(usize, usize)>,
     /// It may be cut off, with its part given to others: it keeps to the least.
     alone: bool,
+    /// When what a member had that is down is the others'.
+    lapses: Option<Micros>,
     stale: bool,
 }
 
@@ -91,6 +95,7 @@
             outs: BTreeMap::new(),
             well: Vec::new(),
             alone: false,
+            lapses: None,
             stale: true,
         };
         node.set_pools(now, pools);
@@ -112,9 +117,12 @@
             let parts = pool.workers.iter().map(part).collect();
             let meter = old.as_ref().map_or(Meter::new(now), |o| o.meter.clone());
             let seen = old.map_or(Seen::new(now), |o| o.seen);
-            self.entries.push(Entry { pool, meter, parts, seen, plan: Vec::new(), part: 1.0 });
+            let (plan, divided) = (Vec::new(), None);
+            self.entries.push(Entry { pool, meter, parts, seen, divided, plan, part: 1.0 });
         }
+        // Whoever looks at the pools next says anew which workers are left out, by their new places.
         self.out.clear();
+        self.told.out.clear();
         self.tell_now();
         self.stale = true;
     }
@@ -159,6 +167,7 @@
         let counts =
             |m: &&Member| m.told.is_some() && m.down.is_none_or(|since| since > gone) || m.name == self.name;
         let there: Vec<&Member> = self.members.iter().filter(counts).collect();
+        self.lapses = there.iter().filter_map(|m| m.down).map(|since| since + self.times.reserve).min();
         for entry in &mut self.entries {
             let pool = short(&[&entry.pool.name]);
             let level = |m: &&Member| match m.name == self.name {
@@ -173,6 +182,7 @@
                 part.set(now, if one.inside { one.most_runs } else { 1 });
             }
             entry.seen.set(now, peers.into_iter().map(|p| (p.name, p.level)).collect::<Levels>());
+            entry.divided = None;
         }
     }
 
@@ -183,9 +193,9 @@
         }
     }
 
-    /// Time has passed. Whether anything here may have changed, what is told among it.
-    pub fn tick(&mut self, now: Micros) -> bool {
-        let mut new = std::mem::take(&mut self.stale);
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros) {
+        let mut new = self.stale || self.lapses.is_some_and(|at| at <= now);
         let news: Vec<_> = self.entries.iter_mut().map(|e| (e.meter.tick(now), e.meter.news()).1).collect();
         // Nobody tells two things within the time that news takes: the others would miss the first.
         let may = now > self.told_at.saturating_add(self.times.hold);
@@ -197,19 +207,9 @@
             self.tell_now();
             new = true;
         }
-        let gone = now - self.times.reserve;
-        new |= self
-            .members
-            .iter()
-            .any(|m| m.down.is_some_and(|since| since <= gone && since > gone - self.times.hold));
         if new {
             self.plan(now);
         }
-        new || self
-            .entries
-            .iter()
-            .flat_map(|e| &e.parts)
-            .any(|p| p.due(self.times.hold).is_some_and(|at| at <= now))
     }
 
     fn tell_now(&mut self) {
@@ -226,20 +226,26 @@
     pub fn uses(&mut self, now: Micros, pool: usize) -> Vec<Use> {
         let (hold, alone) = (self.times.hold, self.alone);
         let Some(entry) = self.entries.get_mut(pool) else { return Vec::new() };
-        entry.seen.quiet(now, hold);
-        let Entry { pool, parts, seen, plan, .. } = entry;
-        let of = |((one, part), worker): ((&Use, &mut Part), &Worker)| {
+        let Entry { pool, parts, seen, divided, plan, .. } = entry;
+        let quiet = seen.quiet(now, hold);
+        let one = |w: &Worker| match all_use(pool, w.tier) {
+            // The loads are the same for all its workers.
+            true => seen.part(&self.name, w.most_runs, |name| hash(&[name, &w.name])),
+            false => 0,
+        };
+        let all = divided.take().unwrap_or_else(|| pool.workers.iter().map(one).collect());
+        let of = |(((one, part), worker), all): (((&Use, &mut Part), &Worker), &usize)| {
             let most_runs = match () {
                 () if alone => 1,
-                // Each tier that all use by itself; the loads are the same for all its workers.
-                () if all_use(pool, worker.tier) => {
-                    seen.part(&self.name, worker.most_runs, |name| hash(&[name, &worker.name]))
-                }
+                () if all_use(pool, worker.tier) => *all,
                 () => part.get(now, hold),
             };
             Use { most_runs: most_runs.max(1), ..*one }
         };
-        plan.iter().zip(parts).zip(&pool.workers).map(of).collect()
+        let uses = plan.iter().zip(parts).zip(&pool.workers).zip(&all).map(of).collect();
+        // While something has changed of late it changes with the time alone.
+        *divided = quiet.then_some(all);
+        uses
     }
 
     /// Its part of what is divided by load.
@@ -247,18 +253,17 @@
         self.entries.get(pool).map_or(1.0, |e| e.part)
     }
 
-    /// The workers of a pool that are left out here, by position. Whether that is news to be told.
-    pub fn left_out(&mut self, pool: usize, workers: &[usize]) -> bool {
+    /// The workers of a pool that are left out here, by position.
+    pub fn left_out(&mut self, pool: usize, workers: &[usize]) {
         let before = self.out.clone();
         self.out.retain(|(p, _)| *p != pool);
         self.out.extend(workers.iter().map(|w| (pool, *w)));
         if self.out == before {
-            return false;
+            return;
         }
         let words: BTreeSet<u16> = self.out.iter().map(|&(p, w)| self.word(p, w)).collect();
         // Beyond the most none of them waits for a turn, so none is told.
         self.told.out = if words.len() <= MOST_OUT { words.into_iter().collect() } else { Vec::new() };
-        true
     }
 
     /// Whose turn it is to try a worker that is left out here.
@@ -275,11 +280,6 @@
     pub fn found_well(&mut self) -> Vec<(usize, usize)> {
         std::mem::take(&mut self.well)
     }
-
-    /// The pools, in the order of their numbers here.
-    pub fn pools(&self) -> impl Iterator<Item = &Pool> {
-        self.entries.iter().map(|e| &e.pool)
-    }
 }
 
 #[cfg(test)]
--- a/share/src/subset/tests.rs
+++ b/share/src/subset/tests.rs
@@ -59,6 +59,22 @@
     assert!(borne(&uses, 12).iter().all(|&b| b == 10));
 }
 
+#[test]
+fn a_zone_without_workers_is_borne_by_the_others() {
+    let (p, w) = (names("n", 30), names("w", 12));
+    let nodes = peers(&p, &["a", "b", "c"], 4);
+    let left: Vec<Worker> =
+        workers(&w, &["a", "b", "c"], |_| 1.0).into_iter().filter(|w| w.zone != "a").collect();
+    let uses = assign(&nodes, &left);
+    assert!(uses.iter().all(|u| u.len() == 4) && borne(&uses, 8).iter().all(|&b| b == 15), "{uses:?}");
+    // Those that have workers of their own keep to them as far as these have room.
+    let away = |zone: &str| -> usize {
+        let of = nodes.iter().zip(&uses).filter(|(n, _)| n.zone == zone);
+        of.map(|(_, u)| u.iter().filter(|i| left[**i].zone != zone).count()).sum()
+    };
+    assert_eq!((away("a"), away("b"), away("c")), (40, 0, 0));
+}
+
 proptest! {
     #[test]
     fn all_bear_their_part_and_nobody_is_left_out(
--- a/share/src/turn.rs
+++ b/share/src/turn.rs
@@ -20,7 +20,7 @@
 
 /// Whether it is this node's turn.
 pub fn of<'a>(me: &'a str, worker: &str, out: impl Iterator<Item = &'a str>) -> Turn {
-    match holder(worker, out.chain(std::iter::once(me)).filter(|n| !n.is_empty())) {
+    match holder(worker, out.chain(std::iter::once(me))) {
         Some(name) if name != me => Turn::Behind,
         _ => Turn::Mine,
     }
