--- /dev/null
+++ b/affinity/examples/cost.rs
@@ -0,0 +1,54 @@
+//! What a session costs a request: finding one that is known here, placing a new one alone, and what a home and a newcomer do, with so
+//! many sessions remembered. `cargo run --release -p pipitlever-affinity --example cost`
+
+use pipitlever_affinity::node::{Found, Node, Peer, Pool, Server, Settings, What};
+use std::time::Instant;
+
+fn pool(workers: usize) -> Pool {
+    let server = |i| Server { name: format!("w{i}"), weight: 1.0, takes: true, drains: false };
+    let workers = (0..workers).map(server).collect();
+    Pool { name: "p".into(), was: Vec::new(), workers, idle: 3600, patience: 0, linger: 0 }
+}
+
+fn main() {
+    println!("sessions  nodes  known, ns  placed, ns  MB  homes change, piece, sweep, ms");
+    for (sessions, nodes) in [(1_000u64, 10), (1_000_000, 10), (1_000, 1_000), (1_000_000, 1_000)] {
+        let settings = Settings { wait: 60_000, most: 2_000_000 };
+        let mut node = Node::new("n0", settings, vec![pool(12)], 0, 1, 0);
+        node.view(0, Vec::new(), true);
+        let start = Instant::now();
+        (0..sessions).for_each(|s| assert!(matches!(node.want(0, 0, What::Session(s), s), Found::At(_))));
+        let placed = start.elapsed().as_nanos() as f64 / sessions as f64;
+        let looks = 1_000_000;
+        let start = Instant::now();
+        for look in 0..looks {
+            // In an order that no cache foresees.
+            let session = look * 7_919 % sessions;
+            let found = node.want(0, 0, What::Session(session), look);
+            assert!(matches!(found, Found::At(_) | Found::Asked));
+        }
+        node.take_out();
+        let known = start.elapsed().as_nanos() as f64 / looks as f64;
+        let peers = |count: usize| (1..count).map(|i| Peer { name: format!("n{i}"), filled: true }).collect();
+        let start = Instant::now();
+        node.view(0, peers(nodes), true);
+        let change = start.elapsed().as_secs_f64() * 1e3;
+        // The longest of what is done at one time: pieces of what others are to hear, and of what may be forgotten.
+        let mut piece = 0.0f64;
+        for t in 1..2_000 {
+            let start = Instant::now();
+            node.tick(t * 5_000);
+            piece = piece.max(start.elapsed().as_secs_f64() * 1e3);
+            node.take_out();
+        }
+        let mut sweep = 0.0f64;
+        for t in 0..70 {
+            let start = Instant::now();
+            node.tick((100 + t) * 1_000_000);
+            sweep = sweep.max(start.elapsed().as_secs_f64() * 1e3);
+            node.take_out();
+        }
+        let mb = node.table().bytes() as f64 / 1048576.0;
+        println!("{sessions:>9}  {nodes:>5}  {known:>9.0}  {placed:>10.0}  {mb:>4.1}  {change:>6.1} {piece:>6.1} {sweep:>6.1}");
+    }
+}
--- a/affinity/src/homes.rs
+++ b/affinity/src/homes.rs
@@ -1,7 +1,8 @@
 //! Which nodes remember a session for the others: the first ones in an order of all nodes that is another for each session
 //! (rendezvous hashing). Who comes takes a place among the first of few sessions, and those who had them are the next in that order.
 
-use crate::{hash, mix, Session};
+use crate::{mix, Session};
+use pipitlever_fleet::record::digest;
 
 /// So many nodes remember a session.
 pub const COPIES: usize = 2;
@@ -18,7 +19,7 @@
 impl Homes {
     /// These nodes.
     pub fn new<'a>(names: impl Iterator<Item = &'a str>) -> Homes {
-        let mut all: Vec<(u64, String)> = names.map(|n| (hash(&[n.as_bytes()]), n.to_owned())).collect();
+        let mut all: Vec<(u64, String)> = names.map(|n| (digest(n.as_bytes()), n.to_owned())).collect();
         all.sort_unstable();
         Homes { all }
     }
@@ -44,19 +45,9 @@
 
     /// Whether a node is one of them.
     pub fn holds(&self, name: &str) -> bool {
-        let node = hash(&[name.as_bytes()]);
+        let node = digest(name.as_bytes());
         self.all.binary_search_by(|(n, _)| n.cmp(&node)).is_ok()
     }
-
-    /// How many there are.
-    pub fn len(&self) -> usize {
-        self.all.len()
-    }
-
-    /// Whether there is none.
-    pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
-    }
 }
 
 #[cfg(test)]
--- a/affinity/src/lib.rs
+++ b/affinity/src/lib.rs
@@ -24,9 +24,6 @@
 pub mod stamp;
 pub mod table;
 
-use siphasher::sip::SipHasher13;
-use std::hash::Hasher;
-
 /// A reading of a clock, or a span of it, in microseconds.
 pub type Micros = i64;
 /// A session, as a digest of its pool and of the key that its client shows.
@@ -34,20 +31,7 @@
 /// A worker, as a digest of its pool and name: wherever it is.
 pub type WorkerId = u32;
 
-/// Stands for some names, in an order: the same in all builds and processes, as nodes choose by it alone.
-pub fn hash(parts: &[&[u8]]) -> u64 {
-    let mut hasher = SipHasher13::new_with_keys(0x7069_7069_746c_6576, 0x6572_6166_6669_6e31);
-    for part in parts {
-        hasher.write_u64(part.len() as u64);
-        hasher.write(part);
-    }
-    hasher.finish()
-}
-
-/// splitmix64's last step: two numbers that each stand for something, as one.
+/// Two numbers that each stand for something, as one: the same in all builds and processes, as nodes choose by it alone.
 pub fn mix(a: u64, b: u64) -> u64 {
-    let mut z = (a ^ b.rotate_left(32)).wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
+    pipitlever_pools::ring::mix(a ^ b.rotate_left(32))
 }
--- a/affinity/src/message.rs
+++ b/affinity/src/message.rs
@@ -42,10 +42,10 @@
         /// It is to be said that they are there.
         owed: bool,
     },
-    /// This one is there now.
+    /// These are there now.
     Have {
-        /// The session.
-        session: Session,
+        /// They.
+        sessions: Vec<Session>,
     },
     /// A node that has just come wants what it is to remember.
     Fill {
@@ -72,8 +72,12 @@
     /// Reads one, if it is one.
     pub fn read(bytes: &[u8]) -> Option<Message> {
         let message = postcard::from_bytes(bytes.strip_prefix(&[MARK])?).ok()?;
-        let sane = if let Message::Tell { entries, .. } = &message { entries.len() <= MOST } else { true };
-        sane.then_some(message)
+        let length = match &message {
+            Message::Tell { entries, .. } => entries.len(),
+            Message::Have { sessions } => sessions.len(),
+            _ => 0,
+        };
+        (length <= MOST).then_some(message)
     }
 }
 
@@ -94,6 +98,7 @@
         assert_eq!(Message::read(&bytes), Some(message));
         let more = Message::Tell { time: 0, entries: vec![(0, placement, 0); MOST + 1], owed: false };
         assert_eq!(Message::read(&more.write()), None);
+        assert_eq!(Message::read(&Message::Have { sessions: vec![0; MOST + 1] }.write()), None);
     }
 
     proptest! {
--- a/affinity/src/node/fill.rs
+++ b/affinity/src/node/fill.rs
@@ -1,17 +1,15 @@
 //! A node that has just come is filled before it is anybody's home: each that is one sends it what it is to remember.
 
+use super::pieces::Errand;
 use super::Node;
-use crate::message::{Entry, Message, MOST};
-use crate::{Micros, Session};
+use crate::message::Message;
+use crate::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// It is asked again after so long without a word, in microseconds.
 const AGAIN: Micros = 500_000;
 /// After so long a node does without what is missing: each session has another home.
 const LONGEST: Micros = 15_000_000;
-/// Pieces are sent so far apart, and so many messages in each.
-const PAUSE: Micros = 5_000;
-const PIECE: usize = 12;
 /// Starts that were served, of the last ones.
 const SERVED: usize = 64;
 
@@ -80,15 +78,6 @@
     }
 }
 
-/// Sessions on their way to another node.
-#[derive(Clone, Debug)]
-pub(super) struct Job {
-    pub(super) to: String,
-    pub(super) sessions: Vec<Session>,
-    /// It is a start of that node that is served by this.
-    pub(super) token: Option<u64>,
-}
-
 impl Node {
     /// Asks for what is missing; once nothing is, this node is a home.
     pub(super) fn filling(&mut self, now: Micros) {
@@ -114,47 +103,16 @@
         let start = (from.to_owned(), token);
         if self.fill.served.contains(&start) {
             // The word that it has all may be lost, not that it was sent.
-            if !self.jobs.iter().any(|j| j.token == Some(token)) {
+            if !self.jobs.iter().any(|job| job.serves(token)) {
                 self.out.push((start.0, Message::Filled { token }.write()));
             }
             return;
         }
-        let mut sessions: Vec<Session> =
-            self.table.iter(now).map(|(s, ..)| s).filter(|s| self.coming.has(*s, from)).collect();
-        // It may be that the view here has it not yet.
-        if !self.coming.holds(from) {
-            sessions = self.table.iter(now).map(|(s, ..)| s).collect();
-        }
         // Another home of a session sends it as well: that is for losses on the way.
         self.fill.served.push(start);
         if self.fill.served.len() > SERVED {
             self.fill.served.remove(0);
         }
-        self.jobs.push_back(Job { to: from.to_owned(), sessions, token: Some(token) });
-    }
-
-    /// Sends the next pieces.
-    pub(super) fn pieces(&mut self, now: Micros) {
-        if now < self.next_piece {
-            return;
-        }
-        for _ in 0..PIECE {
-            let Some(job) = self.jobs.front_mut() else { return };
-            if job.sessions.is_empty() {
-                let job = self.jobs.pop_front();
-                let done = job.and_then(|j| j.token.map(|token| (j.to, Message::Filled { token }.write())));
-                self.out.extend(done);
-                continue;
-            }
-            let at = job.sessions.len().saturating_sub(MOST);
-            let sessions = job.sessions.split_off(at);
-            let entry = |s: &Session| self.table.entry(now, *s);
-            let entries: Vec<Entry> = sessions.iter().filter_map(entry).collect();
-            let message = Message::Tell { time: self.time.read(now), entries, owed: true }.write();
-            let to = job.to.clone();
-            sessions.into_iter().for_each(|s| self.owed.told(now, s, vec![to.clone()]));
-            self.out.push((to, message));
-            self.next_piece = now + PAUSE;
-        }
+        self.send_all(now, Errand::Fill { to: from.to_owned(), token });
     }
 }
--- a/affinity/src/node/heard.rs
+++ b/affinity/src/node/heard.rs
@@ -1,13 +1,11 @@
 //! What the others say.
 
-use super::fill::Job;
 use super::{Found, Node, Peer};
 use crate::homes::Homes;
 use crate::lookup::Settled;
 use crate::message::{Entry, Message};
 use crate::table::Joined;
 use crate::{Micros, Session};
-use std::collections::BTreeMap;
 
 impl Node {
     /// The view of the fleet has changed, or has come to rest.
@@ -23,7 +21,7 @@
         self.coming = Homes::new(all.iter().map(|(name, _)| *name));
         let before = std::mem::replace(&mut self.homes, homes);
         if before != self.homes {
-            self.spread(now, &before);
+            self.spread(now, before);
         }
         let filled = others.into_iter().filter(|p| p.filled && p.name != self.name).map(|p| p.name);
         self.fill.view(filled.collect(), settled);
@@ -68,15 +66,18 @@
                     if mine || self.table.get(now, session).is_some() {
                         self.join(now, from, *entry);
                     }
-                    if *owed && self.table.get(now, session).is_some() {
-                        self.out.push((from.to_owned(), Message::Have { session }.write()));
-                    }
                     if let Some(settled) = self.questions.told(session, placement) {
                         self.settled(now, settled);
                     }
                 }
+                let there =
+                    entries.iter().map(|e| e.0).filter(|s| *owed && self.table.get(now, *s).is_some());
+                let sessions: Vec<Session> = there.collect();
+                if !sessions.is_empty() {
+                    self.out.push((from.to_owned(), Message::Have { sessions }.write()));
+                }
             }
-            Message::Have { session } => self.owed.has(*session, from),
+            Message::Have { sessions } => sessions.iter().for_each(|s| self.owed.has(*s, from)),
             Message::Fill { token } => self.fill_other(now, from, *token),
             Message::Filled { token } => {
                 self.fill.answered(*token, from);
@@ -116,21 +117,4 @@
         };
         self.found.extend(waiting.into_iter().map(|w| (w, found)));
     }
-
-    /// The homes have changed: those that are new hear what they are to remember, each from one that had it.
-    fn spread(&mut self, now: Micros, before: &Homes) {
-        let mut to: BTreeMap<String, Vec<Session>> = BTreeMap::new();
-        for (session, ..) in self.table.iter(now) {
-            let had = before.first(session, super::COPIES);
-            let have = self.homes.first(session, super::COPIES);
-            // Of those that had it the first one that is left says so; if none is, whoever has it for its own clients.
-            let left = had.iter().find(|h| self.homes.holds(h));
-            if left.is_none_or(|h| *h == self.name) {
-                for home in have.into_iter().filter(|h| !had.contains(h) && *h != self.name) {
-                    to.entry(home.to_owned()).or_default().push(session);
-                }
-            }
-        }
-        self.jobs.extend(to.into_iter().map(|(to, sessions)| Job { to, sessions, token: None }));
-    }
 }
--- a/affinity/src/node/mod.rs
+++ b/affinity/src/node/mod.rs
@@ -3,17 +3,20 @@
 use crate::choose::choose;
 use crate::homes::{Homes, ASKED, COPIES};
 use crate::lookup::Questions;
-use crate::message::Message;
+use crate::message::{Entry, Message, MOST};
 use crate::owed::Owed;
 use crate::placement::Placement;
 use crate::stamp::{Birth, Time};
 use crate::table::Table;
-use crate::{hash, mix, Micros, Session, WorkerId};
-use fill::{Fill, Job};
+use crate::{mix, Micros, Session, WorkerId};
+use fill::Fill;
+use pieces::Job;
+use pipitlever_fleet::record::digest;
 use std::collections::{BTreeMap, VecDeque};
 
 mod fill;
 mod heard;
+mod pieces;
 mod pools;
 
 pub use pools::{Cause, Moves, Pool, PoolState, Server};
@@ -73,8 +76,10 @@
 
 /// Sessions of other nodes' clients alone, and those that nobody wanted for so long, are asked for again; in seconds.
 const CACHED: u32 = 60;
-/// How often what is idle is let go, in microseconds.
-const SWEEP: Micros = 5_000_000;
+/// How often a part of what is remembered is looked through for what is idle, in microseconds; and how many parts there are. Whether a
+/// session is this node's to remember takes some time to find out, and requests wait meanwhile.
+const SWEEP: Micros = 1_000_000;
+const PARTS: u64 = 64;
 
 /// The node.
 #[derive(Clone, Debug)]
@@ -96,6 +101,7 @@
     jobs: VecDeque<Job>,
     next_piece: Micros,
     next_sweep: Micros,
+    swept: u64,
     out: Vec<(String, Vec<u8>)>,
     found: Vec<(u64, Found)>,
 }
@@ -112,7 +118,7 @@
     ) -> Node {
         let mut node = Node {
             name: name.to_owned(),
-            by: hash(&[name.as_bytes()]) as u16,
+            by: digest(name.as_bytes()) as u16,
             settings,
             time: Time::new(unix_s, now),
             version: 0,
@@ -126,6 +132,7 @@
             jobs: VecDeque::new(),
             next_piece: now,
             next_sweep: now + SWEEP,
+            swept: 0,
             out: Vec::new(),
             found: Vec::new(),
         };
@@ -294,6 +301,21 @@
         self.out.extend(to.iter().map(|n| (n.clone(), message.clone())));
     }
 
+    /// What homes have not said that they have, in bunches.
+    fn tell_again(&mut self, now: Micros) {
+        let mut owed: BTreeMap<String, Vec<Entry>> = BTreeMap::new();
+        for (session, homes) in self.owed.again(now) {
+            let Some((placement, _)) = self.table.get(now, session) else { continue };
+            homes.into_iter().for_each(|home| owed.entry(home).or_default().push((session, placement, 0)));
+        }
+        let time = self.time.read(now);
+        for (home, entries) in owed {
+            let bunches = entries.chunks(MOST).map(<[Entry]>::to_vec);
+            let messages = bunches.map(|entries| Message::Tell { time, entries, owed: true }.write());
+            self.out.extend(messages.map(|message| (home.clone(), message)));
+        }
+    }
+
     /// These workers of a pool are left out, as their runs fail.
     pub fn left_out(&mut self, now: Micros, pool: usize, out: &[WorkerId]) {
         if let Some(state) = self.pools.get_mut(pool) {
@@ -310,20 +332,20 @@
             let message = Message::Ask { time: self.time.read(now), ticket, session }.write();
             self.out.extend(homes.into_iter().map(|home| (home, message.clone())));
         }
-        for (session, homes) in self.owed.again(now) {
-            if let Some((placement, _)) = self.table.get(now, session) {
-                self.tell_these(now, session, placement, &homes);
-            }
-        }
+        self.tell_again(now);
         self.filling(now);
         self.pieces(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
+            self.swept = (self.swept + 1) % PARTS;
+            let part = self.swept;
             let (homes, coming, name) = (&self.homes, &self.coming, &self.name);
             let idle = self.pools.iter().map(|p| p.idle).max().unwrap_or_default();
             self.table.sweep(now, |session, seconds| {
                 let idle = if session & KEY != 0 { KEYS } else { idle };
-                seconds < CACHED || seconds < idle && (homes.has(session, name) || coming.has(session, name))
+                let other = (session >> 32) % PARTS != part;
+                let mine = || homes.has(session, name) || coming.has(session, name);
+                other || seconds < CACHED || seconds < idle && mine()
             });
         }
     }
--- a/affinity/src/node/pools.rs
+++ b/affinity/src/node/pools.rs
@@ -1,7 +1,8 @@
 //! A pool's workers, as far as sessions go: who takes them, who keeps them, and since when one fails.
 
 use crate::choose::Worker;
-use crate::{hash, mix, Micros, WorkerId};
+use crate::{mix, Micros, WorkerId};
+use pipitlever_fleet::record::digest;
 use std::collections::BTreeMap;
 
 /// A worker, as the file has it.
@@ -91,8 +92,8 @@
 impl PoolState {
     pub(super) fn new(pool: Pool, before: &[PoolState], now: Micros) -> PoolState {
         // By its first name: a rename moves nobody.
-        let id = hash(&[pool.was.first().unwrap_or(&pool.name).as_bytes()]);
-        let worker_id = |name: &str| mix(id, hash(&[name.as_bytes()])) as WorkerId;
+        let id = digest(pool.was.first().unwrap_or(&pool.name).as_bytes());
+        let worker_id = |name: &str| mix(id, digest(name.as_bytes())) as WorkerId;
         let worker = |s: &Server| {
             let (id, keeps) = (worker_id(&s.name), s.takes || s.drains);
             Worker { id, weight: s.weight, takes: s.takes, keeps }
--- a/node/tests/sessions.rs
+++ b/node/tests/sessions.rs
@@ -21,10 +21,18 @@
 const CORES: usize = 40;
 
 /// A stand-in worker that answers with its name after so long, until it is closed.
-fn desk(name: &str, takes: Duration) -> (SocketAddr, Arc<AtomicBool>) {
+struct Stand {
+    at: SocketAddr,
+    closed: Arc<AtomicBool>,
+    /// Another worker may get its machine.
+    name: Arc<Mutex<String>>,
+}
+
+fn stand(name: &str, takes: Duration) -> Stand {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (at, closed, name) = (listener.local_addr().unwrap(), Arc::<AtomicBool>::default(), name.to_owned());
-    let gone = closed.clone();
+    let name = Arc::new(Mutex::new(name.to_owned()));
+    let stand = Stand { at: listener.local_addr().unwrap(), closed: Arc::default(), name: name.clone() };
+    let gone = stand.closed.clone();
     std::thread::spawn(move || {
         loop {
             let (stream, _) = listener.accept().unwrap();
@@ -34,7 +42,7 @@
             }
             // One that was killed meanwhile has sent a part at the most.
             let Some((mut stream, _)) = Worker::try_read(stream) else { continue };
-            let name = name.clone();
+            let name = name.lock().unwrap().clone();
             std::thread::spawn(move || {
                 std::thread::sleep(takes);
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", name.len());
@@ -42,7 +50,7 @@
             });
         }
     });
-    (at, closed)
+    stand
 }
 
 /// The workers of the pool as a version has them: name, address, weight and more.
@@ -57,7 +65,7 @@
     format!(
         "[uwsgi]\nlisten = \"127.0.0.1:0\"\ndeadline_ms = 4000\n\
          [[uwsgi.route]]\npath = \"/view\"\nclass = \"rota-view\"\nbackend = \"workers\"\npool = \"{pool}\"\n\
-         [[pool]]\nname = \"{pool}\"\nwas = [{was}]\n\
+         [[pool]]\nname = \"{pool}\"\nwas = [{was}]\nshare = true\n\
          [pool.affinity]\nsession = \"HTTP_X_TERMINAL\"\npatience_ms = {PATIENCE_MS}\n{members}"
     )
 }
@@ -217,23 +225,23 @@
     heard.iter().map(|(_, session, _, worker)| (*session, worker.clone())).collect()
 }
 
-fn desks(names: std::ops::Range<usize>) -> (Desks, Vec<Arc<AtomicBool>>) {
+fn desks(names: std::ops::Range<usize>, takes: Duration) -> (Desks, Vec<Stand>) {
     let desk = |i: usize| {
-        let (at, closed) = desk(&format!("w{i}"), Duration::ZERO);
-        ((format!("w{i}"), at, 1.0, ""), closed)
+        let stand = stand(&format!("w{i}"), takes);
+        ((format!("w{i}"), stand.at, 1.0, ""), stand)
     };
     names.map(desk).unzip()
 }
 
 #[test]
 fn nobody_moves_while_the_worker_stays_a_member() {
-    let (mut all, _) = desks(0..5);
+    let (mut all, stands) = desks(0..5, Duration::ZERO);
     let mut site = Site::new("sessions-stay", &all, CORES);
     let clients = Clients::start(&site, 0..200);
     let settle = Duration::from_millis(600);
     std::thread::sleep(settle);
     // Workers come, weights and the order change, and the pool gets another name.
-    let (more, _) = desks(5..8);
+    let (more, _) = desks(5..8, Duration::ZERO);
     all.extend(more);
     all.reverse();
     all.iter_mut().enumerate().for_each(|(i, d)| d.2 = 0.5 + i as f64);
@@ -241,6 +249,9 @@
     site.acts(&[0, 1, 2, 3, 4], 1);
     site.publish(1, "another name", &operator("counters", "\"desks\"", &all));
     site.acts(&[0, 1, 2, 3, 4], 2);
+    // What each node has of the workers goes by the pool's first name, too.
+    let parts = |i: usize| site.cluster.view(i).unwrap()["share"][0]["workers"].as_array().unwrap().clone();
+    assert!((0..NODES).all(|i| parts(i).iter().all(|w| w["most_runs"].as_u64() > Some(1))), "{:?}", parts(0));
     // Links that lose a fifth, double some, and take their time.
     for (from, to) in (0..NODES).flat_map(|a| (0..NODES).map(move |b| (a, b))) {
         let link = Link { loss: 0.2, twice: 0.1, delay: Duration::from_millis(3), ..Link::default() };
@@ -254,8 +265,7 @@
         std::thread::sleep(settle);
     }
     // A worker moves to another machine: it is known by its name.
-    let moved = desk(&all[0].0, Duration::ZERO);
-    all[0].1 = moved.0;
+    all[0].1 = stand(&all[0].0, Duration::ZERO).at;
     site.publish(0, "another machine", &operator("counters", "\"desks\"", &all));
     site.acts(&[0, 1, 2, 3, 4], 3);
     site.cluster.links.heal();
@@ -265,8 +275,21 @@
     let said = || [site.cluster.said("sessions: pool"), site.cluster.said(" out for_ms")].concat();
     assert!(moved.is_empty(), "{moved:?}: {:#?}", said());
     assert!(last(&heard).len() > 190 && heard.len() > 1_000);
-    // The new ones took some as well: whoever came after they did.
+    // One's address is another's former one: names count, and nothing that was known of an address.
+    let homes = last(&heard);
+    let place = |name: &str| all.iter().position(|d| d.0 == name).unwrap();
+    let (one, two) = (place("w1"), place("w2"));
+    *stands[1].name.lock().unwrap() = "w2".into();
+    (all[one].1, all[two].1) = (stand("w1", Duration::ZERO).at, stands[1].at);
+    site.publish(0, "w2 gets the machine of w1", &operator("counters", "\"desks\"", &all));
+    site.acts(&[0, 1, 2, 3, 4], 4);
     let fronts = site.fronts.lock().unwrap().clone();
+    let asked: Vec<(usize, String)> =
+        homes.iter().filter(|(_, w)| *w == "w1" || *w == "w2").map(|(s, w)| (*s, w.clone())).collect();
+    for (session, worker) in &asked {
+        assert_eq!(ask(fronts[session % NODES].unwrap(), *session).as_ref(), Ok(worker));
+    }
+    // The new ones took some as well: whoever came after they did.
     let new: Vec<String> = (1_000..1_060).map(|s| ask(fronts[s % NODES].unwrap(), s).unwrap()).collect();
     assert!(["w5", "w6"].iter().all(|w| new.iter().any(|n| n == w)), "{new:?}");
 }
@@ -276,8 +299,7 @@
 #[test]
 fn a_replacement_moves_nobody_and_answers_all() {
     let takes = Duration::from_millis(100);
-    let mut all: Desks =
-        (0..4).map(|i| (format!("w{i}"), desk(&format!("w{i}"), takes).0, 1.0, "")).collect();
+    let (mut all, _) = desks(0..4, takes);
     let mut site = Site::new("sessions-replaced", &all, 1);
     let fronts =
         |site: &Site| -> Vec<SocketAddr> { site.fronts.lock().unwrap().iter().flatten().copied().collect() };
@@ -327,7 +349,7 @@
 
 #[test]
 fn sessions_of_a_worker_that_goes_or_fails_move_alone() {
-    let (mut all, closed) = desks(0..5);
+    let (mut all, stands) = desks(0..5, Duration::ZERO);
     let site = Site::new("sessions-move", &all, CORES);
     let clients = Clients::start(&site, 0..120);
     std::thread::sleep(Duration::from_millis(800));
@@ -364,7 +386,7 @@
     let settled = heard.len();
 
     // w1 breaks down: its machine accepts nobody. Runs never began there, so its sessions move at once, and once.
-    closed[1].store(true, SeqCst);
+    stands[1].closed.store(true, SeqCst);
     let _ = TcpStream::connect(all[0].1);
     std::thread::sleep(Duration::from_millis(2_500));
     let heard = clients.end();
--- a/rig/examples/sessions.rs
+++ b/rig/examples/sessions.rs
@@ -14,7 +14,7 @@
     let started = Instant::now();
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut workers: Vec<(u32, f64, bool)> = (0..12).map(|w| (w, 1.0, true)).collect();
-    let ways = Ways { loss: 10.0, twice: 2.0, delay: 4_000, news: 500_000 };
+    let ways = Ways { loss: 10.0, twice: 2.0, delay: 4_000, late: 0.0, news: 500_000 };
     let mut world = World::new(nodes as usize, pool(&workers, 5 * S), ways, seed);
     while !world.filled() {
         world.run_until(world.now + S);
--- a/rig/src/sessions.rs
+++ b/rig/src/sessions.rs
@@ -20,6 +20,8 @@
     pub twice: f64,
     /// They take up to so long.
     pub delay: Micros,
+    /// So many of a hundred take two seconds.
+    pub late: f64,
     /// News of members and versions takes up to so long to each node.
     pub news: Micros,
 }
@@ -177,8 +179,14 @@
 
     /// These workers fail, or none does, as all nodes find at once.
     pub fn fail(&mut self, workers: &[u32]) {
+        self.fail_at(workers, |_| true);
+    }
+
+    /// The same, as some nodes find: their way there is bad.
+    pub fn fail_at(&mut self, workers: &[u32], at: impl Fn(usize) -> bool) {
         let now = self.now;
-        for node in self.nodes.iter_mut().flatten() {
+        let nodes = self.nodes.iter_mut().enumerate().filter(|(i, _)| at(*i));
+        for node in nodes.filter_map(|(_, n)| n.as_mut()) {
             let state = &node.pools()[0];
             let at = |w: &u32| state.pool.workers.iter().position(|s| s.name == format!("w{w}"));
             let out: Vec<u32> = workers.iter().filter_map(|w| state.id(at(w)?)).collect();
@@ -287,7 +295,9 @@
             let times = 1 + usize::from(self.rng.f64() * 100.0 < self.ways.twice);
             for _ in 0..times {
                 if self.rng.f64() * 100.0 >= self.ways.loss {
-                    let time = self.now + self.rng.i64(1..=self.ways.delay.max(1));
+                    let late = self.rng.f64() * 100.0 < self.ways.late;
+                    let delay = self.rng.i64(1..=self.ways.delay.max(1));
+                    let time = self.now + if late { 2 * S } else { delay };
                     self.at(time, Event::Said(i, to, bytes.clone()));
                 }
             }
--- a/rig/tests/sessions.rs
+++ b/rig/tests/sessions.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 const S: i64 = 1_000_000;
-const ROUGH: Ways = Ways { loss: 10.0, twice: 5.0, delay: 5_000, news: 400_000 };
+const ROUGH: Ways = Ways { loss: 10.0, twice: 5.0, delay: 5_000, late: 0.0, news: 400_000 };
 
 /// Sessions, by key, and the worker of each.
 type Places = BTreeMap<u64, u32>;
@@ -15,8 +15,18 @@
 
 /// A world that has come to rest, and its sessions, each placed by one request at some node.
 fn world(nodes: usize, workers: u32, sessions: u64, seed: u64) -> (World, Places, fastrand::Rng) {
-    let mut world = World::new(nodes, pool(&even(0..workers), 5 * S), ROUGH, seed);
-    world.run_until(3 * S);
+    world_of(ROUGH, nodes, workers, sessions, seed)
+}
+
+fn world_of(
+    ways: Ways,
+    nodes: usize,
+    workers: u32,
+    sessions: u64,
+    seed: u64,
+) -> (World, Places, fastrand::Rng) {
+    let mut world = World::new(nodes, pool(&even(0..workers), 5 * S), ways, seed);
+    world.run_until(5 * S);
     assert!(world.filled());
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut places = Places::new();
@@ -181,6 +191,64 @@
     assert_eq!(moved(&mut world, &now, &mut rng), [], "it is back, and nobody goes back");
 }
 
+#[test]
+fn a_fifth_lost_and_a_twentieth_two_seconds_late_move_nobody() {
+    let ways = Ways { loss: 20.0, twice: 10.0, late: 5.0, ..ROUGH };
+    let (mut world, places, mut rng) = world_of(ways, 10, 6, 400, 31);
+    let mut workers = even(0..6);
+    for round in 0..6 {
+        workers.iter_mut().for_each(|w| w.1 = 0.5 + rng.f64() * 4.0);
+        workers.push((6 + round, 1.0, true));
+        world.publish(pool(&workers, 5 * S));
+        assert_eq!(moved(&mut world, &places, &mut rng), [], "round {round}");
+    }
+}
+
+#[test]
+fn a_client_whose_node_dies_finds_its_worker_at_another_one_at_once() {
+    let (mut world, places, mut rng) = world(10, 6, 400, 37);
+    // Where a new session would go is another matter by now.
+    let heavy: Vec<_> = (0..6).map(|w| (w, if w == 0 { 9.0 } else { 0.5 }, true)).collect();
+    world.publish(pool(&heavy, 5 * S));
+    world.run_until(world.now + S);
+    for dead in 0..10 {
+        let mine: Places =
+            places.iter().filter(|(key, _)| **key % 10 == dead as u64).map(|(k, w)| (*k, *w)).collect();
+        for (key, at) in &mine {
+            assert_eq!(worker(world.ask(dead, *key)), *at);
+        }
+        world.kill(dead);
+        // Nobody has heard of that yet.
+        assert_eq!(moved(&mut world, &mine, &mut rng), [], "n{dead}");
+        world.start(dead);
+        world.run_until(world.now + 3 * S);
+    }
+}
+
+#[test]
+fn a_worker_that_one_node_alone_can_not_reach_loses_what_comes_there() {
+    let (mut world, places, mut rng) = world(6, 4, 300, 41);
+    world.fail_at(&[1], |i| i == 2);
+    world.run_until(world.now + 6 * S);
+    let mut now = places.clone();
+    for (key, at) in &places {
+        // Half of the clients come by that node.
+        let by = if key % 2 == 0 { 2 } else { 4 };
+        let came = worker(world.ask(by, *key));
+        assert_eq!(came == *at, *at != 1 || by != 2, "{key}");
+        now.insert(*key, came);
+    }
+    world.run_until(world.now + 2 * S);
+    // All go by that, and the others stay: its word takes no worker out for anybody.
+    for _ in 0..2 {
+        let seen = moved(&mut world, &now, &mut rng);
+        assert!(seen.iter().all(|(_, from, _)| *from == 1), "{seen:?}");
+        now.extend(seen.iter().map(|(key, _, to)| (*key, *to)));
+    }
+    let stay = now.values().filter(|w| **w == 1).count();
+    assert!(stay > 10, "{stay}");
+}
+
 #[test]
 fn repeats_of_a_key_go_where_the_first_try_went() {
     let (mut world, places, mut rng) = world(6, 4, 200, 29);
@@ -206,15 +274,15 @@
 #[test]
 fn many_that_join_at_once_and_leave_again_move_nobody() {
     let (mut world, places, mut rng) = world(5, 6, 500, 19);
-    world.grow(25);
+    world.grow(105);
     let seen = moved(&mut world, &places, &mut rng);
     assert!(seen.is_empty(), "{seen:?}");
-    world.run_until(world.now + 5 * S);
+    world.run_until(world.now + 15 * S);
     assert!(world.filled());
     let seen = moved(&mut world, &places, &mut rng);
     assert!(seen.is_empty(), "{seen:?}");
     // One after the other, as a drain does it.
-    for i in 5..25 {
+    for i in 5..105 {
         world.kill(i);
         world.run_until(world.now + S);
     }
