--- a/node/src/net/fleet.rs
+++ b/node/src/net/fleet/mod.rs
@@ -13,7 +13,7 @@
 use futures_lite::future;
 use pipitlever_fleet::own::Own;
 use pipitlever_fleet::own::Passed;
-use pipitlever_fleet::record::{Standing, State};
+use pipitlever_fleet::record::Standing;
 use pipitlever_fleet::rules::Rules;
 use pipitlever_fleet::standing::Steady;
 use pipitlever_fleet::sync::Session;
@@ -21,13 +21,20 @@
 use pipitlever_reactor::{Async, Timer};
 use pipitlever_share::node::Times;
 use pipitlever_versions::floor::Saved;
-use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, RandomState};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+mod door;
+mod loops;
+mod settings;
+
+pub use door::{figures, view};
+use loops::{connections, datagrams, dials, wakes};
+pub use settings::{Settings, Sockets};
+
 /// Descriptors that the fleet may take: its two sockets, and connections.
 pub const DESCRIPTORS: usize = 3 + MOST_SESSIONS;
 /// Connections of others at one time; those beyond are closed, and come again.
@@ -42,70 +49,6 @@
 /// What can't be understood is named in the log so often at most.
 const NAMED: Duration = Duration::from_secs(60);
 
-/// What the operator's file says.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Settings {
-    /// The fleet's name: another fleet's members are not heard.
-    pub name: String,
-    /// Where datagrams and connections come in, and go out from.
-    pub bind: SocketAddr,
-    /// How others reach it.
-    pub advertise: SocketAddr,
-    /// Where others may be met.
-    pub seeds: Vec<SocketAddr>,
-    /// Where it stands; may be empty.
-    pub zone: String,
-    /// Times and bounds.
-    pub rules: Rules,
-    /// Versions of the settings, if the fleet decides them.
-    pub versions: Option<versions::Settings>,
-    /// What a node keeps to of a pool that is shared while it may be cut off.
-    pub apart: Apart,
-}
-
-impl Settings {
-    /// News reaches all within the first, as a rule; what a node had that is gone is nobody's for the second.
-    fn times(&self) -> Times {
-        let hold = 2 * self.rules.probe + 2 * LOOK_MS as i64 * 1000;
-        // From the last word that one that is cut off had of a majority until its lease is over, by any clock.
-        let reserve = self.versions.as_ref().map_or(RESERVE, |v| v.rules.lease + v.rules.lease / 40 + hold);
-        Times { hold, reserve }
-    }
-}
-
-/// What a node had of a pool is nobody's for so long where there are no leases, in microseconds.
-const RESERVE: i64 = 10_000_000;
-
-/// The sockets, which pass from one process of the node to the next.
-pub struct Sockets {
-    /// For datagrams.
-    pub udp: UdpSocket,
-    /// For connections.
-    pub tcp: TcpListener,
-}
-
-impl Sockets {
-    /// Both on one port.
-    pub fn bind(at: SocketAddr) -> std::io::Result<Sockets> {
-        let mut tries = 0;
-        loop {
-            let udp = UdpSocket::bind(at)?;
-            match TcpListener::bind(udp.local_addr()?) {
-                // The system picked a port for the one that is taken for the other.
-                Err(e) if at.port() == 0 && e.kind() == std::io::ErrorKind::AddrInUse && tries < 20 => {
-                    tries += 1
-                }
-                tcp => return Ok(Sockets { udp, tcp: tcp? }),
-            }
-        }
-    }
-
-    /// Where they are.
-    pub fn at(&self) -> Option<SocketAddr> {
-        self.udp.local_addr().ok()
-    }
-}
-
 /// Counted since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -448,180 +391,3 @@
         }
     }
 }
-
-async fn datagrams(part: Rc<Part>) {
-    // One byte more than the longest that is read: what is cut off can't pass for whole.
-    let mut bytes = vec![0; 64 << 10];
-    loop {
-        for _ in 0..TURN {
-            match part.udp.receive(&mut bytes).await {
-                Ok((length, _)) => {
-                    part.count(|c| c.heard += 1);
-                    let read = part.turn(|fleet, now| fleet.datagram(now, &bytes[..length]));
-                    let _ = read.map_err(|why| part.misunderstood("a datagram", &why));
-                }
-                // Word of a datagram that reached nobody, or no memory for one.
-                Err(_) => {
-                    Timer::at(ahead(1)).await;
-                }
-            }
-        }
-        future::yield_now().await;
-    }
-}
-
-async fn wakes(part: Rc<Part>) {
-    loop {
-        let seen = part.standing();
-        let standing = part.steady.borrow_mut().see(part.clock.now(), seen);
-        let until = part.parts_until();
-        part.turn(|fleet, now| {
-            part.sharing.iter().for_each(|sharing| sharing.turn(fleet, now, until));
-            let mut payload = Vec::new();
-            let (sharing, sessions) = (&part.sharing, &part.affinity);
-            if part.versions.is_some() || sharing.is_some() || sessions.is_some() {
-                payload.extend(part.acting().to_le_bytes());
-            }
-            if sharing.is_some() || sessions.is_some() {
-                payload.push(sessions.as_ref().map_or(0, Sessions::told));
-            }
-            sharing.iter().for_each(|sharing| payload.extend(sharing.told()));
-            if let Some(sessions) = sessions {
-                sessions.look(now);
-                sessions.note(now);
-            }
-            fleet.say(standing, &payload);
-            if fleet.next_wake() <= now {
-                fleet.wake(now);
-            }
-        });
-        let next = part.clock.instant(part.next.get()).min(ahead(LOOK_MS));
-        by(next, part.woken.wait()).await;
-        future::yield_now().await;
-    }
-}
-
-async fn connections(part: Rc<Part>) {
-    loop {
-        match part.tcp.accept().await {
-            Ok((stream, _)) => {
-                if part.sessions.get() >= MOST_SESSIONS {
-                    continue;
-                }
-                let Ok(stream) = Async::<TcpStream>::new(stream) else { continue };
-                part.sessions.set(part.sessions.get() + 1);
-                let session = part.clone();
-                let answering = async move {
-                    session.settle("a connection", stream, Session::answer()).await;
-                    session.sessions.set(session.sessions.get() - 1);
-                };
-                part.executor.spawn(answering).detach();
-            }
-            // Out of descriptors: whoever could not get in comes again.
-            Err(_) => {
-                Timer::at(ahead(50)).await;
-            }
-        }
-    }
-}
-
-async fn dials(part: Rc<Part>) {
-    loop {
-        part.dial.wait().await;
-        let Some(to) = part.turn(|fleet, _| fleet.take_sync()) else { continue };
-        let from = (!part.from.ip().is_unspecified()).then(|| part.from.ip());
-        match by(ahead(READ_MS), Async::<TcpStream>::connect_from(from, to)).await {
-            Some(Ok(stream)) => {
-                let session = Session::dial(&part.fleet.borrow());
-                part.settle("a member", stream, session).await;
-            }
-            _ => part.count(|c| c.broken += 1),
-        }
-    }
-}
-
-impl Part {
-    /// Makes two views equal over a connection, in pieces, and not for longer than it may take.
-    async fn settle(&self, what: &str, stream: Async<TcpStream>, mut session: Session) {
-        let _ = stream.get_ref().set_nodelay(true);
-        let mut bytes = vec![0; 16 << 10];
-        let settled = by(ahead(SESSION_MS), async {
-            loop {
-                while let Some(piece) = self.turn(|fleet, now| session.piece(fleet, now)) {
-                    by(ahead(READ_MS), stream.write_all(&piece)).await?.ok()?;
-                    future::yield_now().await;
-                }
-                if session.over() {
-                    return Some(());
-                }
-                let read = by(ahead(READ_MS), stream.read(&mut bytes)).await?.ok().filter(|n| *n > 0)?;
-                if !self.active() {
-                    return None;
-                }
-                let fed = self.turn(|fleet, now| session.feed(fleet, now, &bytes[..read]));
-                fed.map_err(|why| self.misunderstood(what, &why)).ok()?;
-                future::yield_now().await;
-            }
-        });
-        let over = settled.await.flatten().is_some();
-        self.count(|c| (c.synced, c.broken) = (c.synced + u64::from(over), c.broken + u64::from(!over)));
-    }
-}
-
-/// The view, as the door tells it.
-pub fn view(part: &Part) -> String {
-    part.look(|fleet, now| {
-        let members = fleet.members().iter().filter(|(_, m)| !m.fading).map(|(name, m)| {
-            let d = &m.record.details;
-            let rivals: Vec<String> = d.rivals.iter().map(|r| r.address.to_string()).collect();
-            json!({
-                "name": name, "address": d.address.to_string(), "zone": d.zone,
-                "state": m.record.state.word(), "incarnation": m.record.incarnation,
-                "standing": d.standing.word(), "since_ms": (now - m.since).max(0) / 1000, "told_by": m.told_by,
-                "conflict": rivals, "acting": acting(&d.payload),
-            })
-        });
-        let mut view = json!({
-            "self": fleet.name(), "fleet": fleet.fleet(), "settled": fleet.settled(), "cut_off": fleet.cut_off(),
-            "health": fleet.health(), "digest": format!("{:016x}", fleet.digest()),
-            "members": members.collect::<Vec<_>>(),
-        });
-        if let Some(versions) = &part.versions {
-            view["versions"] = versions.view(now);
-        }
-        if let Some(sessions) = &part.affinity {
-            view["sessions"] = sessions.view();
-        }
-        if let Some(sharing) = &part.sharing {
-            view["share"] = sharing.view(now);
-        }
-        format!("{view}\n")
-    })
-}
-
-/// The figures of the fleet, for the door.
-pub fn figures(part: &Part, text: &mut String) {
-    use std::fmt::Write;
-    part.look(|fleet, _| {
-        let states = fleet.states();
-        let gauges = [State::Alive, State::Suspect, State::Down, State::Left]
-            .map(|s| (s.word(), states.get(&s).copied().unwrap_or(0) as u64));
-        let more = [
-            ("settled", u64::from(fleet.settled())),
-            ("cut_off", u64::from(fleet.cut_off())),
-            ("health", u64::from(fleet.health())),
-        ];
-        for (name, value) in gauges.into_iter().chain(more) {
-            // A string takes all that is written to it.
-            let _ = writeln!(text, "edge.fleet.{name}:{value}|g");
-        }
-    });
-    part.affinity.iter().for_each(|sessions| sessions.figures(text));
-    part.sharing.iter().for_each(|sharing| sharing.figures(part.clock.now(), text));
-    let Counts { sent, unsent, heard, malformed, synced, broken } = part.counts();
-    let counts =
-        [("sent", sent), ("unsent", unsent), ("heard", heard), ("malformed", malformed), ("synced", synced)];
-    for (name, value) in counts.into_iter().chain([("broken", broken)]) {
-        let _ = writeln!(text, "edge.fleet.{name}:{value}|c");
-    }
-}
