Let newcomers that start together not wait for each other

In the simulation 300 nodes that all started at once were filled after 15 s, the longest that is waited (100: 5 to 7 s): whoever was filled became one more that the others had to hear from.

--- a/affinity/src/node/fill.rs
+++ b/affinity/src/node/fill.rs
@@ -50,10 +50,16 @@
     }
 
     pub(super) fn view(&mut self, filled: BTreeSet<String>, settled: bool) {
+        // Once a view has come to rest nobody else is wanted: whoever is filled later has it from these, and hears what is new as this
+        // node does. Many that start together would wait for each other.
+        if !self.settled {
+            for name in &filled {
+                self.wanted.entry(name.clone()).or_default();
+            }
+        }
+        self.wanted.retain(|n, _| filled.contains(n));
         // A view that is not at rest may lack those that know all.
         self.settled |= settled;
-        let held = std::mem::take(&mut self.wanted);
-        self.wanted = filled.into_iter().map(|n| (n.clone(), held.get(&n).copied().flatten())).collect();
     }
 
     pub(super) fn heard(&mut self, now: Micros, from: &str) {
--- a/affinity/src/node/tests.rs
+++ b/affinity/src/node/tests.rs
@@ -104,3 +104,15 @@
     assert_eq!(node.recall(0, 0, What::Session(1)), Found::Nowhere, "and it moves none");
     assert_eq!(node.recall(0, 3, What::Session(1)), Found::Nowhere);
 }
+
+#[test]
+fn those_who_are_filled_later_are_not_waited_for() {
+    let mut node = node(&["a", "b"]);
+    let some = |names: &[&str]| names.iter().map(|n| Peer { name: (*n).into(), filled: true }).collect();
+    node.view(0, some(&["n1"]), true);
+    node.view(0, some(&["n1", "n2", "n3"]), true);
+    assert_eq!(said(&mut node).len(), 1);
+    // One that is gone meanwhile isn't either.
+    node.view(0, some(&["n2", "n3"]), true);
+    assert!(node.filled());
+}
