Close connections in steps, so that no request and no answer is lost in that moment

Seen, by tests on real sockets that fail on: a request that reaches an idle connection as it is closed is lost, with no goaway before; half a line is closed over; bytes behind the close are answered with a reset; behind the eighth error of a connection a request in the same segment ran and its answer was dropped; and at the end of a drain the kernel reset all connections whose clients went on sending.

At fault: net/front.rs, `connection`, which dropped the stream as soon as it was idle (End::Unused), and `read_lines`, which worked off the whole segment after the connection was finished; life/serve.rs, `drain`, which ended the process over open connections. Ruled out: the module (it saw none of these requests) and the wire (each was read whole).

Now net/closing.rs: goaway, 100 ms for what crosses it, half-close in one step with a look for bytes, reading on within a bound, close. A message that has begun keeps its connection. At the end of a drain all connections go that way, until 150 ms before the kill. Idle ones make room ahead of need, as that takes longer than a close. 74 descriptors are kept back where 64 were: by count, 48 calls and all else can need them.

Each test that starts a node ends with its accounts: requests = served + refused + failed + gone + open.

--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -15,6 +15,8 @@
     pub failed: u64,
     /// Requests whose caller left before its answer.
     pub gone: u64,
+    /// Answers that were given up, as their connection's peer does not read.
+    pub undelivered: u64,
     /// Runs begun.
     pub runs: u64,
     /// Runs that ended well.
@@ -66,7 +68,7 @@
         let c = self;
         write!(
             f,
-            "requests={} repeats={} served={} refused={} failed={} gone={} runs={} runs_fine={} interrupted={} \
+            "requests={} repeats={} served={} refused={} failed={} gone={} undelivered={} runs={} runs_fine={} interrupted={} \
              calls={} calls_fine={} rejected={} malformed={} accepted={} accept_errors={} crowded_out={} links={}",
             c.requests,
             c.repeats,
@@ -74,6 +76,7 @@
             c.refused,
             c.failed,
             c.gone,
+            c.undelivered,
             c.runs,
             c.runs_fine,
             c.interrupted,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -496,6 +496,12 @@
         self.owed
     }
 
+    /// Whether each request that was read is answered, told gone or open, and nothing is counted twice.
+    pub fn balanced(&self) -> bool {
+        let Counters { requests, served, refused, failed, gone, .. } = self.counters;
+        requests == served + refused + failed + gone + self.owed as u64
+    }
+
     /// Requests, running ones and keys in memory.
     pub fn sizes(&self) -> (usize, usize, usize) {
         let running = self.attempts.values().filter(|a| matches!(a.stage, Stage::Running { .. }));
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -10,7 +10,7 @@
 use crate::net::hub::{Hub, Limits, Shared};
 use crate::net::places::Front;
 use crate::net::versions::Act;
-use crate::net::{ahead, by, callers, control, fleet, ledger, membership, processor, timers, workers};
+use crate::net::{ahead, by, callers, calls, control, fleet, ledger, membership, processor, timers, workers};
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use pipitlever_reactor::{block_on, Async, Timer};
@@ -21,9 +21,12 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Descriptors kept back from the fronts: the links, the signals, the poller, standard streams. The operators' door has
-/// its own beside these.
-const KEPT_BACK: usize = 64;
+/// Descriptors kept back from the fronts, so that the node reaches all that it needs whatever its clients do: standard
+/// streams; the poller, its notifier and its clock; a socket pair for each kind of signal, and the second end of SIGINT's; a
+/// link to the processor that ends and the next one; the socket for reports; a connection for each call; listening sockets and
+/// what they have just accepted; the handover's; files that are read again. The operators' door and the fleet have their own
+/// beside these.
+const KEPT_BACK: usize = 3 + 3 + 7 + 2 + 1 + calls::MOST_CALLS + 2 * 2 + 4 + 2;
 /// The process ends this long before it would be killed, in milliseconds.
 const SPARE_MS: u64 = 150;
 /// After `goaway`, requests that were already on their way are waited for this long, in milliseconds.
@@ -37,6 +40,8 @@
 
 /// A process on its way out listens until the grace of its drain is over; its address is waited for so long, in milliseconds.
 const LEAVING_MS: u64 = 5000;
+/// Between two looks at whether all is answered, in milliseconds.
+const LOOK_MS: u64 = 10;
 
 /// What the node is to do.
 enum Wanted {
@@ -265,7 +270,13 @@
     let (requests, running, keys) = hub.core.sizes();
     let connections = hub.places.taken();
     log(&format!("counters: {}", hub.core.counters));
-    log(&format!("now: requests={requests} running={running} keys={keys} connections={connections}"));
+    let open = hub.core.owed();
+    log(&format!(
+        "now: requests={requests} running={running} keys={keys} connections={connections} open={open}"
+    ));
+    if !hub.core.balanced() {
+        log("accounting: requests are not what was answered, has gone and is open: report this with the counters");
+    }
     hub.pools.report(hub.clock.now()).iter().for_each(|line| log(line));
     if let Some((used, reserved, waiting)) = hub.core.store_room() {
         log(&format!("store: used={used} reserved={reserved} waiting={waiting}"));
@@ -288,7 +299,7 @@
     let part = hub.borrow().callers.fleet.clone();
     part.iter().for_each(|part| part.leave());
     Timer::at(ahead(CROSSING_MS).min(stop)).await;
-    answered(hub, stop).await;
+    end(hub, stop).await;
 }
 
 /// Leaves, while the node goes on in another process: what this one has read is answered, and what becomes of its keys is told.
@@ -300,17 +311,28 @@
     log(&format!("leaving: stop_ms={stop_ms} owed={}, another process serves", hub.borrow().core.owed()));
     hub.borrow_mut().superseded((left * 1000) as i64);
     Timer::at(ahead(CROSSING_MS).min(stop)).await;
-    answered(hub, stop).await;
+    end(hub, stop).await;
 }
 
-/// Waits until all that was read is answered, or the time has come.
-async fn answered(hub: &Shared, stop: Instant) {
-    let settled = async {
-        while !hub.borrow().settled() {
-            Timer::at(ahead(10)).await;
+/// Waits until all that was read is answered and every connection is closed, or the time has come. A connection that the end
+/// of the process closed over unread bytes would be reset, and answers lost that its peer has not read yet.
+async fn end(hub: &Shared, stop: Instant) {
+    until(stop, || hub.borrow().settled()).await;
+    hub.borrow_mut().retire_all();
+    // What comes before a connection is half-closed is answered as well.
+    until(stop, || hub.borrow().places.taken() == 0 && hub.borrow().settled()).await;
+    let owed = hub.borrow().core.owed();
+    if owed > 0 || hub.borrow().places.queued() > 0 {
+        log(&format!("draining: stopped with owed={owed}"));
+    }
+}
+
+/// Waits until something holds, or the time has come.
+async fn until(stop: Instant, holds: impl Fn() -> bool) {
+    let held = async {
+        while !holds() {
+            Timer::at(ahead(LOOK_MS)).await;
         }
     };
-    if by(stop.max(Instant::now()), settled).await.is_none() {
-        log(&format!("draining: stopped with owed={}", hub.borrow().core.owed()));
-    }
+    by(stop.max(Instant::now()), held).await;
 }
--- a/node/src/net/calls.rs
+++ b/node/src/net/calls.rs
@@ -11,7 +11,7 @@
 
 /// Connections to the ledger, one for each call that is out. The module's own bound is far lower on any real settings; this one
 /// keeps the process within its descriptors.
-const MOST_CALLS: usize = 48;
+pub const MOST_CALLS: usize = 48;
 
 /// A call to place with the ledger.
 #[derive(Clone, Debug)]
--- a/node/src/net/front.rs
+++ b/node/src/net/front.rs
@@ -1,5 +1,6 @@
 //! The fronts: accept connections and carry what is said on them, lines of gateways or uwsgi packets.
 
+use super::closing::{self, End};
 use super::hub::Shared;
 use super::nudge::Nudge;
 use super::places::{Front, Outbox, Place};
@@ -10,12 +11,10 @@
 use pipitlever_wire::jsonrpc::Gateway;
 use pipitlever_wire::uwsgi::Client;
 use std::cell::RefCell;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// After its last word a connection is read for so long, in milliseconds, with such pauses.
-const LINGER_MS: u64 = 250;
-const LINGER_PAUSE_MS: u64 = 5;
 /// At the limit, a place is looked for again after so long, in milliseconds.
 const FULL_MS: u64 = 10;
 
@@ -45,7 +44,11 @@
                 by(ahead(FULL_MS), freed.wait()).await;
             }
             match listener.accept().await {
-                Ok((stream, _)) => accept(stream),
+                Ok((stream, _)) => {
+                    accept(stream);
+                    // Ahead of need: a connection is closed in some steps, and the next newcomer is not to wait for them.
+                    hub.borrow_mut().make_room();
+                }
                 Err(_) => {
                     // Out of descriptors, most likely: neither an end nor a reason to spin.
                     hub.borrow_mut().core.counters.accept_errors += 1;
@@ -61,22 +64,16 @@
         return;
     }
     // A request on a connection that the machine accepted is held here: none may be cut off by the close.
-    while let Ok((stream, _)) = listener.get_ref().accept() {
-        accept(stream);
+    loop {
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => accept(stream),
+            // That one alone is gone; others may wait behind it.
+            Err(error) if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+            Err(_) => return,
+        }
     }
 }
 
-/// How a connection came to its end.
-#[derive(PartialEq)]
-enum End {
-    /// Its peer left, or can't be written to.
-    Peer,
-    /// All is said: the last word is on its way.
-    Said,
-    /// It was idle, or its place is wanted: nothing is on its way.
-    Unused,
-}
-
 async fn connection(hub: Shared, front: Front, stream: Async<TcpStream>, place: Place) {
     let Place { id, out, wanted } = place;
     let reading = async {
@@ -95,25 +92,22 @@
     let unused = async {
         future::or(wanted.wait(), idle(&hub, id)).await;
         // A request may have come just before: then its place is not to be had.
-        while hub.borrow().places.in_use(id) {
+        while hub.borrow().places.in_use(id) && !hub.borrow().closing() {
             future::or(wanted.wait(), idle(&hub, id)).await;
         }
-        End::Unused
+        closing::retire(&hub, id, &stream).await
+    };
+    // The idle one first: it closes what the writer waits for, and knows that the peer has read all.
+    let end = future::or(unused, future::or(reading, writing)).await;
+    let lingering = match end {
+        End::Said | End::Idle => hub.borrow_mut().places.linger(id),
+        End::Peer | End::Stuck => None,
     };
-    let end = future::or(future::or(reading, writing), unused).await;
     hub.borrow_mut().disconnected(id);
-    if end == End::Said && hub.borrow_mut().places.linger() {
-        // What the peer still sends is read and dropped for a moment: unread, it would reset the connection
-        // and could take the last word with it. At no speed: a peer that never stops must not have the core.
-        let _ = stream.get_ref().shutdown(Shutdown::Write);
-        let discard = async {
-            let mut bytes = [0; 4096];
-            while stream.read(&mut bytes).await.is_ok_and(|n| n > 0) {
-                Timer::at(ahead(LINGER_PAUSE_MS)).await;
-            }
-        };
-        by(ahead(LINGER_MS), discard).await;
-        hub.borrow_mut().places.lingered();
+    if let Some(lingering) = lingering {
+        closing::linger(&stream, end).await;
+        drop(stream);
+        hub.borrow_mut().places.lingered(lingering);
     }
 }
 
@@ -125,19 +119,22 @@
         if n == 0 {
             return;
         }
-        machine.feed(&bytes[..n]);
-        hub.borrow_mut().stirred(id);
-        while let Some(message) =
-            machine.next(|name| hub.borrow().class(name), |name| hub.borrow().tenant(name))
-        {
-            hub.borrow_mut().gateway(id, message);
+        // What comes behind the last word is not acted on: its answer could not be written any more.
+        if !hub.borrow().places.finished(id) {
+            machine.feed(&bytes[..n]);
         }
-        if machine.broken() {
-            hub.borrow_mut().places.finish(id);
+        while !hub.borrow().places.finished(id) {
+            let message = machine.next(|name| hub.borrow().class(name), |name| hub.borrow().tenant(name));
+            let Some(message) = message else { break };
+            hub.borrow_mut().gateway(id, message);
+            if machine.broken() {
+                hub.borrow_mut().places.finish(id);
+            }
         }
         if hub.borrow().places.finished(id) {
             future::pending::<()>().await;
         }
+        hub.borrow_mut().stirred(id, machine.unfinished());
         // A peer that always has something to say would otherwise never let the others have their turn.
         future::yield_now().await;
     }
@@ -151,14 +148,15 @@
         if n == 0 {
             return;
         }
-        hub.borrow_mut().stirred(id);
+        // A connection that was closed meanwhile has no answer for a packet any more.
+        if hub.borrow().places.finished(id) {
+            future::pending::<()>().await;
+        }
         if let Some(packet) = machine.as_mut().and_then(|m| m.feed(&bytes[..n])) {
             machine = None;
             hub.borrow_mut().uwsgi_packet(id, packet);
         }
-        if hub.borrow().places.finished(id) {
-            future::pending::<()>().await;
-        }
+        hub.borrow_mut().stirred(id, machine.is_some());
         future::yield_now().await;
     }
 }
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -3,6 +3,7 @@
 use super::callers::Callers;
 use super::calls::{Calls, ToPost};
 use super::clock::Clock;
+use super::closing::Rest;
 use super::link::{Link, Told};
 use super::nudge::Nudge;
 use super::places::{Front, Place, Places};
@@ -30,6 +31,11 @@
 mod leaving;
 mod notices;
 
+/// Places that are kept free for newcomers once connections get scarce, and the part of all places that they are at the most:
+/// the closing of one that is idle takes some time.
+const MOST_SPARE: usize = 16;
+const SPARE_PART: usize = 8;
+
 /// The hub as the drivers hold it: one thread, so a cell is enough.
 pub type Shared = Rc<RefCell<Hub>>;
 
@@ -180,6 +186,8 @@
     tenants: Vec<String>,
     draining: bool,
     closing: bool,
+    /// All connections are being closed: the process is about to end.
+    ending: bool,
     /// The level that the module wants told on the way out.
     last_level: Option<f64>,
     next_wake: Option<Micros>,
@@ -226,6 +234,7 @@
             tenants,
             draining: false,
             closing: false,
+            ending: false,
             last_level: None,
             next_wake: None,
         }
@@ -333,10 +342,13 @@
 
     fn answer(&mut self, origin: Origin, answer: Answer) {
         let (level, now) = (self.core.level(), self.clock.now());
-        let Some((front, class)) = self.places.answered(origin, now) else { return };
+        let Some((front, class)) = self.places.answered(origin, now) else {
+            self.core.counters.undelivered += 1;
+            return;
+        };
         let worked = self.classes[class].workers_path.is_some();
         let Origin { connection, number } = origin;
-        self.places.send(connection, |out| match front {
+        let sent = self.places.send(connection, |out| match front {
             Front::Gateway => match answer {
                 Answer::Served(result) => {
                     let result = if worked { Response::plain_body(&result) } else { Some(&*result) };
@@ -373,6 +385,7 @@
                 Answer::Failed { expired: false } => uwsgi::response(out, Status::BadGateway, None, b""),
             },
         });
+        self.core.counters.undelivered += u64::from(!sent);
         if front == Front::Uwsgi {
             self.places.finish(connection);
         }
@@ -395,9 +408,27 @@
         }
     }
 
-    /// Has one connection closed for the others, if any may be.
+    /// Has a connection closed, if one may be, unless enough places are free or about to be.
     pub fn make_room(&mut self) {
-        self.core.counters.crowded_out += u64::from(self.places.make_room(self.clock.now()));
+        let spare = MOST_SPARE.min(self.sockets / SPARE_PART);
+        let excess = (self.places.taken() + self.pools.in_flight() + spare).saturating_sub(self.sockets);
+        if self.places.leaving() < excess {
+            self.core.counters.crowded_out += u64::from(self.places.make_room(self.clock.now()));
+        }
+    }
+
+    /// A connection is about to be closed; whether its peer is told first, and what it sent before it hears is waited for.
+    pub fn retire(&mut self, id: u64) -> bool {
+        let told = self.places.retire(id) && !self.ending;
+        if told && !self.closing {
+            self.places.send(id, jsonrpc::goaway);
+        }
+        told
+    }
+
+    /// What keeps a connection from being closed.
+    pub fn rest(&self, id: u64) -> Rest {
+        self.places.rest(id, self.clock.now())
     }
 
     /// When a connection has been idle for too long; nothing while a request is open on it.
@@ -405,10 +436,10 @@
         self.places.idle_at(id, self.core.idle())
     }
 
-    /// A connection brought bytes.
-    pub fn stirred(&mut self, id: u64) {
+    /// A connection brought bytes; whether a part of a message is left of them.
+    pub fn stirred(&mut self, id: u64, unfinished: bool) {
         let now = self.clock.now();
-        self.places.stirred(id, now);
+        self.places.stirred(id, now, unfinished);
     }
 
     /// The class of this name, by position.
--- a/node/src/net/hub/leaving.rs
+++ b/node/src/net/hub/leaving.rs
@@ -49,6 +49,17 @@
         self.draining
     }
 
+    /// Whether gateways have been told to send nothing new, as the node is about to end.
+    pub fn closing(&self) -> bool {
+        self.closing
+    }
+
+    /// Has all connections closed, each once nothing is open on it.
+    pub fn retire_all(&mut self) {
+        (self.closing, self.ending) = (true, true);
+        self.places.retire_all();
+    }
+
     /// Whether all that was read is answered and written.
     pub fn settled(&self) -> bool {
         // What its successor does not hear of a keyed run nobody will know.
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod calls;
 pub mod clock;
+pub mod closing;
 pub mod control;
 pub mod fleet;
 pub mod front;
--- a/node/src/net/places.rs
+++ b/node/src/net/places.rs
@@ -1,6 +1,7 @@
 //! The fronts' connections, as far as they are kept in memory: who is connected, what is open, what waits to be
 //! written. Places are few, and everything that waits is bounded.
 
+use super::closing::Rest;
 use super::nudge::Nudge;
 use pipitlever::Micros;
 use pipitlever_core::{Origin, Reference};
@@ -27,8 +28,9 @@
 /// Nor is one that came this lately: its request may be on its way. Longer than the above, so that some other one
 /// can be closed before it.
 const NEW: Micros = 250_000;
-/// Connections that may be read for a moment after their last word; the others are closed at once.
-const MOST_LINGERING: usize = 32;
+/// Connections without a whole message that may be read for a moment after their last word; the others of these are
+/// closed at once. One that has brought a request always is: it may have answers to read.
+const MOST_LINGERING_STRANGERS: usize = 32;
 
 /// The front that a connection speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,6 +111,14 @@
     pub wanted: Nudge,
 }
 
+/// A connection that is read after its last word, until it is given back.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use]
+pub struct Lingering {
+    /// It never brought a whole message.
+    stranger: bool,
+}
+
 /// One connection of a front.
 #[derive(Debug)]
 struct Connection {
@@ -120,6 +130,10 @@
     active: Micros,
     /// When it last brought anything, be it half a message.
     stirred: Micros,
+    /// Half a message has come.
+    unfinished: bool,
+    /// It is being closed.
+    retiring: bool,
     /// It has brought a request or a health check.
     known: bool,
     /// Errors since the last one.
@@ -136,7 +150,9 @@
     /// Bytes that wait to be written to all connections together, and that may.
     queued: usize,
     most_queued: usize,
+    /// Connections that are read after their last word, and those of them that never brought a whole message.
     lingering: usize,
+    lingering_strangers: usize,
     /// A connection was closed.
     pub freed: Nudge,
 }
@@ -144,7 +160,15 @@
 impl Places {
     /// None yet. So many bytes may wait to be written to all together.
     pub fn new(most_queued: usize) -> Places {
-        Places { all: HashMap::new(), last: 0, queued: 0, most_queued, lingering: 0, freed: Nudge::new() }
+        Places {
+            all: HashMap::new(),
+            last: 0,
+            queued: 0,
+            most_queued,
+            lingering: 0,
+            lingering_strangers: 0,
+            freed: Nudge::new(),
+        }
     }
 
     /// So many bytes may wait to be written to all together from now on.
@@ -163,6 +187,8 @@
             open: HashMap::new(),
             active: now,
             stirred: now,
+            unfinished: false,
+            retiring: false,
             known: false,
             errors: 0,
             wanted: place.wanted.clone(),
@@ -179,12 +205,12 @@
         connection.open.into_values().map(|(reference, _)| reference).collect()
     }
 
-    /// Writes something to a connection. One whose peer does not read is given up.
-    pub fn send(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>)) {
-        let Some(connection) = self.all.get_mut(&id) else { return };
+    /// Writes something to a connection; whether it will be written. One whose peer does not read is given up.
+    pub fn send(&mut self, id: u64, write: impl FnOnce(&mut Vec<u8>)) -> bool {
+        let Some(connection) = self.all.get_mut(&id) else { return false };
         let mut waiting = connection.out.waiting.borrow_mut();
         if waiting.closed {
-            return;
+            return false;
         }
         let before = waiting.bytes.len();
         write(&mut waiting.bytes);
@@ -192,12 +218,14 @@
         if connection.queued + length > MOST_QUEUED || self.queued + length > self.most_queued {
             waiting.bytes.truncate(before);
             drop(waiting);
-            return connection.out.close();
+            connection.out.close();
+            return false;
         }
         connection.queued += length;
         self.queued += length;
         drop(waiting);
         connection.out.nudge.give();
+        true
     }
 
     /// So many bytes were written to a connection.
@@ -223,10 +251,10 @@
         self.all.get(&id).is_none_or(|c| c.out.closed())
     }
 
-    /// A connection brought bytes, whether they make a message or not.
-    pub fn stirred(&mut self, id: u64, now: Micros) {
+    /// A connection brought bytes, whether they make a message or not; whether a part of a message is left.
+    pub fn stirred(&mut self, id: u64, now: Micros, unfinished: bool) {
         if let Some(c) = self.all.get_mut(&id) {
-            c.stirred = now;
+            (c.stirred, c.unfinished) = (now, unfinished);
         }
     }
 
@@ -278,33 +306,67 @@
         self.all.iter().filter(|(_, c)| c.front == Front::Gateway).map(|(&id, _)| id).collect()
     }
 
-    /// Whether a connection may be read for a moment after its last word; it then keeps a place.
-    pub fn linger(&mut self) -> bool {
-        let may = self.lingering < MOST_LINGERING;
-        self.lingering += usize::from(may);
-        may
+    /// Whether a connection may be read for a moment after its last word; it then keeps a place until [`Places::lingered`].
+    pub fn linger(&mut self, id: u64) -> Option<Lingering> {
+        let stranger = self.all.get(&id).is_none_or(|c| !c.known);
+        if stranger && self.lingering_strangers >= MOST_LINGERING_STRANGERS {
+            return None;
+        }
+        self.lingering += 1;
+        self.lingering_strangers += usize::from(stranger);
+        Some(Lingering { stranger })
     }
 
     /// It was: its place is given back.
-    pub fn lingered(&mut self) {
+    pub fn lingered(&mut self, Lingering { stranger }: Lingering) {
         self.lingering -= 1;
+        self.lingering_strangers -= usize::from(stranger);
         self.freed.give();
     }
 
+    /// Marks a connection as one that is being closed; whether its peer is a gateway that may be about to use it and is
+    /// to hear of that first.
+    pub fn retire(&mut self, id: u64) -> bool {
+        let Some(connection) = self.all.get_mut(&id) else { return false };
+        let first = !std::mem::replace(&mut connection.retiring, true);
+        first && connection.known && connection.front == Front::Gateway
+    }
+
+    /// What keeps a connection from being closed.
+    pub fn rest(&self, id: u64, now: Micros) -> Rest {
+        match self.all.get(&id) {
+            Some(c) if !c.open.is_empty() => Rest::Open,
+            Some(c) if c.queued > 0 || (c.unfinished && c.stirred + STIRRED > now) => Rest::Unfinished,
+            _ => Rest::Quiet,
+        }
+    }
+
+    /// Has all connections closed, each once nothing is open on it.
+    pub fn retire_all(&self) {
+        self.all.values().for_each(|c| c.wanted.give());
+    }
+
     /// Connections that take a place on the fronts.
     pub fn taken(&self) -> usize {
         self.all.len() + self.lingering
     }
 
+    /// Connections that are being closed, or are read after their last word: their places are about to be free.
+    pub fn leaving(&self) -> usize {
+        self.all.values().filter(|c| c.retiring || c.out.closed()).count() + self.lingering
+    }
+
     /// Has one connection closed for the others, if any may be: of those that have said nothing whole first the one that
     /// has been silent for longest, as a request may be on its way in pieces; then the one that was used least lately.
     pub fn make_room(&mut self, now: Micros) -> bool {
-        let unused = |c: &&Connection| c.open.is_empty() && !c.out.closed() && c.queued == 0;
-        let closable = self.all.values().filter(unused);
-        let last = |c: &Connection| if c.known { c.active } else { c.stirred };
+        let unused =
+            |c: &&mut Connection| c.open.is_empty() && !c.retiring && !c.out.closed() && c.queued == 0;
+        let closable = self.all.values_mut().filter(unused);
+        let last = |c: &Connection| if c.known && !c.unfinished { c.active } else { c.stirred };
         let closable = closable.filter(|c| last(c) + if c.known { IN_USE } else { NEW } <= now);
-        let closed = closable.min_by_key(|c| (c.known, last(c)));
-        closed.inspect(|c| c.wanted.give()).is_some()
+        let Some(closed) = closable.min_by_key(|c| (c.known, last(c))) else { return false };
+        closed.wanted.give();
+        true
     }
 
     /// Whether a connection has a request open.
@@ -316,8 +378,10 @@
     /// open on it.
     pub fn idle_at(&self, id: u64, idle: Micros) -> Option<Micros> {
         let connection = self.all.get(&id)?;
-        let Connection { active, stirred, .. } = *connection;
+        let Connection { active, stirred, unfinished, .. } = *connection;
         let at = match connection.known {
+            // A request that arrives in pieces has begun, though it is not read yet.
+            true if unfinished => (active + idle).max(stirred + STIRRED),
             true => active + idle,
             false => {
                 let silent = (active + STRANGER).max(stirred + STIRRED);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -79,14 +79,21 @@
     pub gateways: SocketAddr,
     pub uwsgi: Option<SocketAddr>,
     lines: Receiver<String>,
+    /// A test has stopped the process, so that it says nothing.
+    pub stopped: bool,
+    /// Answers that a test has the node give up, by not reading them.
+    pub undelivered: u64,
 }
 
 impl Node {
     /// Starts a node with these parties, and an operator's file with this text.
     pub fn start(parties: Value, operator: Option<&str>) -> Node {
         // Another build, for those who count: what is checked is this one.
-        let other = std::env::var_os("PIPITLEVER_PROGRAM");
-        Node::start_program(other.unwrap_or_else(|| PROGRAM.into()).as_ref(), parties, operator)
+        Node::start_program(&Node::program(), parties, operator)
+    }
+
+    fn program() -> PathBuf {
+        std::env::var_os("PIPITLEVER_PROGRAM").map_or_else(|| PROGRAM.into(), PathBuf::from)
     }
 
     /// The same of a program of its own.
@@ -94,15 +101,40 @@
         Node::start_with(program, parties, operator, &[])
     }
 
-    /// The same with more in its environment.
-    pub fn start_with(program: &Path, parties: Value, operator: Option<&str>, env: &[(&str, &str)]) -> Node {
+    /// The files of a new node, by the ends of their names.
+    fn files() -> impl Fn(&str) -> PathBuf {
         static COUNT: AtomicU64 = AtomicU64::new(0);
         let name = format!("pipitlever-{}-{}", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
-        let file = |end: &str| std::env::temp_dir().join(format!("{name}.{end}"));
+        move |end: &str| std::env::temp_dir().join(format!("{name}.{end}"))
+    }
+
+    /// The same with more in its environment.
+    pub fn start_with(program: &Path, parties: Value, operator: Option<&str>, env: &[(&str, &str)]) -> Node {
+        let file = Node::files();
         let config = configuration(&parties);
         std::fs::write(file("json"), config.to_string()).unwrap();
         let mut command = Command::new(program);
         command.arg("serve").arg("--config").arg(file("json")).envs(env.iter().copied());
+        Node::spawn(command, config, &file, operator)
+    }
+
+    /// The same with no more than so many descriptors.
+    pub fn start_limited(descriptors: usize, parties: Value) -> Node {
+        let file = Node::files();
+        let config = configuration(&parties);
+        std::fs::write(file("json"), config.to_string()).unwrap();
+        let mut command = Command::new("prlimit");
+        command.arg(format!("--nofile={descriptors}")).arg(Node::program()).arg("serve");
+        command.arg("--config").arg(file("json"));
+        Node::spawn(command, config, &file, None)
+    }
+
+    fn spawn(
+        mut command: Command,
+        config: Value,
+        file: &dyn Fn(&str) -> PathBuf,
+        operator: Option<&str>,
+    ) -> Node {
         if let Some(text) = operator {
             std::fs::write(file("toml"), text).unwrap();
             command.arg("--operator").arg(file("toml"));
@@ -121,7 +153,16 @@
         };
         let gateways = listening();
         let uwsgi = operator.filter(|text| text.contains("listen")).map(|_| listening());
-        Node { child, config: (file("json"), config), operator: file("toml"), gateways, uwsgi, lines }
+        Node {
+            child,
+            config: (file("json"), config),
+            operator: file("toml"),
+            gateways,
+            uwsgi,
+            lines,
+            stopped: false,
+            undelivered: 0,
+        }
     }
 
     /// Starts a node that does not stay; the code that it ends with, and its log.
@@ -232,10 +273,53 @@
     }
 }
 
+impl Node {
+    /// The figures that the node prints when asked, or printed at its end: counters and what it has now.
+    fn figures(&self, patience: Duration) -> Option<(String, String)> {
+        let mut counters = None;
+        loop {
+            let line = self.lines.recv_timeout(patience).ok()?;
+            assert!(!line.starts_with("accounting: "), "{line}");
+            if line.starts_with("counters: ") {
+                counters = Some(line);
+            } else if let (true, Some(counters)) = (line.starts_with("now: "), counters.take()) {
+                // Both are printed together; of an earlier pair a test may have taken the first.
+                return Some((counters, line));
+            }
+        }
+    }
+
+    /// What was read is answered, told gone or open, and no answer was given up unwritten.
+    fn check_accounts(&mut self) {
+        let running = matches!(self.child.try_wait(), Ok(None));
+        if running {
+            self.signal("-USR1");
+        }
+        // One that a test has killed, or whose last lines it took, has nothing more to say.
+        let patience = if running { PATIENCE } else { Duration::ZERO };
+        let Some((counters, now)) = self.figures(patience) else {
+            return assert!(!running || self.stopped, "a node that runs prints its figures");
+        };
+        let count = |name: &str| Node::counter(&counters, name);
+        let answered = count("served") + count("refused") + count("failed") + count("gone");
+        let open = Node::counter(&now, "open");
+        assert_eq!(count("requests"), answered + open, "{counters} {now}");
+        assert_eq!(count("undelivered"), self.undelivered, "{counters}");
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
+        let checked = match std::thread::panicking() {
+            true => Ok(()),
+            false => std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| self.check_accounts())),
+        };
+        // Whatever came of it, no process outlives its test.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if let Err(wrong) = checked {
+            std::panic::resume_unwind(wrong);
+        }
     }
 }
 
--- a/wire/src/jsonrpc.rs
+++ b/wire/src/jsonrpc.rs
@@ -188,6 +188,11 @@
         self.broken
     }
 
+    /// Whether a part of a message has come whose end has not.
+    pub fn unfinished(&self) -> bool {
+        self.buffer.len() > self.used
+    }
+
     /// The next whole message. Classes and tenants have their positions by their names.
     pub fn next(
         &mut self,
