End a start that waits for its address when it is told to leave

Seen: SIGTERM while a start waits for its address (up to 5 s) or for the process before it was read only once the node served, which then drained for seconds. At fault: life/serve.rs, `run`, which looked at signals behind its last step. The start's sockets are opened in a step of their own, `Opened::open`, that the signal ends; other signals stay for later.

--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -18,6 +18,7 @@
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -69,28 +70,19 @@
 ) -> Result<(), String> {
     let (config, saved) = super::versions::begin(config, &read)?;
     let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
-    let mut listeners = vec![(Front::Gateway, config.listen)];
-    listeners.extend(config.tuning.uwsgi.listen.map(|at| (Front::Uwsgi, at)));
     // A store is of one process at a time, and a port that the system picks has nobody before.
     let place = handover::place(config.listen).filter(|_| config.store.is_none());
-    let met = match &place {
-        Some(place) if config.listen.port() != 0 => {
-            handover::meet(place, &config.name, config.listen).await?
-        }
-        _ => None,
+    let opened = async { Some(Opened::open(&config, place.as_deref()).await) };
+    let told_to_leave = async {
+        signals.leave().await;
+        None
     };
-    let (mut met, mut sockets) = (met, Vec::new());
-    let mut passed = met.as_mut().map(|met| std::mem::take(&mut met.sockets)).unwrap_or_default();
-    for (front, at) in listeners {
-        if let Some(at) = passed.iter().position(|(passed, address, _)| (*passed, *address) == (front, at)) {
-            sockets.push(passed.swap_remove(at));
-            continue;
-        }
-        let bound = bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
-        let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
-        sockets.push((front, at, bound));
-    }
-    drop(passed);
+    // Others may have to leave an address first: a process that is told to end meanwhile has nothing to drain.
+    let Some(opened) = future::or(opened, told_to_leave).await else {
+        log("ending: told to leave before it served");
+        return Ok(());
+    };
+    let Opened { met, sockets, fleet: fleet_sockets } = opened?;
     let door = config.control.map(|at| {
         let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
         let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
@@ -147,12 +139,6 @@
     let place = place.and_then(|_| handover::place(at));
     let offer =
         place.map(|place| Offer::new(executor.clone(), hub.clone(), fronts.clone(), name.clone(), place));
-    let fleet_sockets = match (&config.fleet, met.as_mut().and_then(|met| met.fleet.take())) {
-        // Of another address than this process is given, they are of no use to it.
-        (Some(f), Some(passed)) if f.bind.port() == 0 || passed.at() == Some(f.bind) => Some(passed),
-        (Some(f), _) => Some(bind_fleet(f.bind).await?),
-        (None, _) => None,
-    };
     let (acts, to_act) = async_channel::unbounded();
     if config.fleet.as_ref().is_some_and(|f| f.versions.is_some()) {
         // Until it is known that the disk's version is not one that this node has left.
@@ -239,6 +225,56 @@
     Ok(())
 }
 
+/// What a process has before it serves: its sockets, and the process that it takes over from, if there is one.
+struct Opened {
+    met: Option<handover::Met>,
+    sockets: Vec<(Front, SocketAddr, Async<TcpListener>)>,
+    fleet: Option<fleet::Sockets>,
+}
+
+impl Opened {
+    /// Meets the process before this one at its place, if there is one, and opens what that one does not pass on.
+    async fn open(config: &Config, place: Option<&Path>) -> Result<Opened, String> {
+        let mut met = match place {
+            Some(place) if config.listen.port() != 0 => {
+                handover::meet(place, &config.name, config.listen).await?
+            }
+            _ => None,
+        };
+        let passed = met.as_mut().map(|met| std::mem::take(&mut met.sockets)).unwrap_or_default();
+        let sockets = Opened::listeners(config, passed).await?;
+        let fleet = match (&config.fleet, met.as_mut().and_then(|met| met.fleet.take())) {
+            // Of another address than this process is given, they are of no use to it.
+            (Some(f), Some(passed)) if f.bind.port() == 0 || passed.at() == Some(f.bind) => Some(passed),
+            (Some(f), _) => Some(bind_fleet(f.bind).await?),
+            (None, _) => None,
+        };
+        Ok(Opened { met, sockets, fleet })
+    }
+
+    /// The fronts' sockets, passed on or bound.
+    async fn listeners(
+        config: &Config,
+        mut passed: Vec<(Front, SocketAddr, Async<TcpListener>)>,
+    ) -> Result<Vec<(Front, SocketAddr, Async<TcpListener>)>, String> {
+        let mut wanted = vec![(Front::Gateway, config.listen)];
+        wanted.extend(config.tuning.uwsgi.listen.map(|at| (Front::Uwsgi, at)));
+        let mut sockets = Vec::new();
+        for (front, at) in wanted {
+            if let Some(at) =
+                passed.iter().position(|(passed, address, _)| (*passed, *address) == (front, at))
+            {
+                sockets.push(passed.swap_remove(at));
+                continue;
+            }
+            let bound = bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+            let at = bound.get_ref().local_addr().map_err(|e| format!("listening socket: {e}"))?;
+            sockets.push((front, at, bound));
+        }
+        Ok(sockets)
+    }
+}
+
 /// Listens at an address, once a process that is on its way out has left it.
 async fn bind(at: SocketAddr) -> std::io::Result<Async<TcpListener>> {
     let until = ahead(LEAVING_MS);
--- a/node/src/life/signals.rs
+++ b/node/src/life/signals.rs
@@ -38,6 +38,11 @@
         ]))
     }
 
+    /// Waits until it is told to leave; other signals stay for [`Signals::next`].
+    pub async fn leave(&self) {
+        wait(&self.0[0]).await;
+    }
+
     /// The next one. Several of a kind that came together are one.
     pub async fn next(&self) -> Signal {
         let [leave, reload, count] = &self.0;
