Read a request's number in every form that JSON has for a whole number

Seen by reading: an id of 7.0 or 7e0 is a JSON number and was refused as an invalid request; nor could it be taken back. At fault: wire/src/jsonrpc.rs, `message` and `Cancelled`, which took integers alone. wire/tests/forms.rs plays one request in nine forms, each cut at every byte.

--- a/wire/src/jsonrpc.rs
+++ b/wire/src/jsonrpc.rs
@@ -18,6 +18,8 @@
 pub const MOST_OPEN: usize = 32;
 /// The longest key.
 const MOST_KEY: usize = 128;
+/// Up to here a JSON number with a fraction or an exponent is exact.
+const MOST_EXACT: f64 = 9_007_199_254_740_992.0;
 /// A caller waits no longer than this, in milliseconds; larger figures are errors.
 const MOST_ALLOW: f64 = 3_600_000.0;
 
@@ -151,7 +153,7 @@
 
 #[derive(Deserialize)]
 struct Cancelled {
-    id: u64,
+    id: serde_json::Value,
 }
 
 /// What a health check may say. Whatever else stands there is no error: it is answered all the same.
@@ -230,15 +232,15 @@
             return Message::Bad(None, if json { Code::Request } else { Code::Parse });
         };
         let Envelope { jsonrpc, id, method, params } = value;
-        let numbered = id.as_u64().filter(|&id| id > self.last_id);
+        let numbered = whole_number(&id).filter(|&id| id > self.last_id);
         let (true, Some(Text(method))) = (jsonrpc.is_some_and(|v| v.0 == "2.0"), method) else {
             return Message::Bad(numbered, Code::Request);
         };
         if id.is_null() {
             let named = params.map(RawValue::get).filter(|p| p.starts_with('{'));
             let cancelled = named.and_then(|p| serde_json::from_str::<Cancelled>(p).ok());
-            return match (&*method, cancelled) {
-                ("cancelRequest", Some(cancelled)) => Message::Cancel(cancelled.id),
+            return match (&*method, cancelled.and_then(|c| whole_number(&c.id))) {
+                ("cancelRequest", Some(cancelled)) => Message::Cancel(cancelled),
                 // Whoever asks for something without a number gets to know that it will not be done.
                 _ => Message::Bad(None, Code::Request),
             };
@@ -257,6 +259,12 @@
     }
 }
 
+/// A whole number, in any form that JSON has for it: 7, 7.0 and 7e0 are the same.
+fn whole_number(value: &serde_json::Value) -> Option<u64> {
+    let exact = |v: &f64| v.fract() == 0.0 && (0.0..=MOST_EXACT).contains(v);
+    value.as_u64().or_else(|| value.as_f64().filter(exact).map(|v| v as u64))
+}
+
 fn work(
     id: u64,
     params: Option<&RawValue>,
--- /dev/null
+++ b/wire/tests/forms.rs
@@ -0,0 +1,66 @@
+//! One request in the forms that JSON allows for it, whole and cut at every byte.
+
+use pipitlever_wire::jsonrpc::{Gateway, Message};
+
+/// Messages of bytes that come in pieces of these lengths, the rest at the end.
+fn messages(text: &str, cut: usize) -> Vec<Message> {
+    let mut gateway = Gateway::default();
+    let mut found = Vec::new();
+    let (first, second) = text.as_bytes().split_at(cut);
+    for piece in [first, second] {
+        gateway.feed(piece);
+        found
+            .extend(std::iter::from_fn(|| gateway.next(|name| (name == "rota-view").then_some(0), |_| None)));
+    }
+    assert!(!gateway.unfinished(), "{text:?} cut at {cut}");
+    found
+}
+
+#[test]
+fn every_form_of_one_request_is_the_same_request() {
+    let plain = concat!(
+        r#"{"jsonrpc":"2.0","id":7,"method":"rota-view","params":{"ref":"9b1f03aa5c7e2d41","since":1764576000123,"#,
+        r#""sender":4,"allow":480,"effort":12.5,"room":24.5,"class_rank":0.625,"doc":"/+8="}}"#,
+        "\n"
+    );
+    let forms = [
+        plain.replace('\n', "\r\n"),
+        plain.replace(':', " :\t").replace(',', " , "),
+        plain.replace("\"id\":7", "\"id\":7.0"),
+        plain.replace("\"id\":7", "\"id\":7e0"),
+        plain.replace("480", "4.8e2").replace("24.5", "2.45E+1"),
+        plain.replace("rota-view", "rota\\u002dview").replace("/+8=", "\\/\\u002b8="),
+        plain.replace("\"ref\"", "\"r\\u0065f\"").replace("method", "m\\u0065thod"),
+        plain.replace(
+            "\"sender\":4,",
+            "\"sender\":4,\"lookup\":\"7f3a9c21e0b4d655\",\"unknown\":{\"a\":[1]},",
+        ),
+        concat!(
+            r#"{"params":{"doc":"/+8=","class_rank":0.625,"room":24.5,"effort":12.5,"allow":480,"sender":4,"#,
+            r#""since":1764576000123,"ref":"9b1f03aa5c7e2d41"},"method":"rota-view","id":7,"jsonrpc":"2.0"}"#,
+            "\n"
+        )
+        .to_owned(),
+    ];
+    let expected = messages(plain, 0);
+    assert!(matches!(&expected[..], [Message::Work(work)] if work.id == 7 && *work.body == [0xff, 0xef]));
+    for form in &forms {
+        for cut in 0..=form.len() {
+            assert_eq!(messages(form, cut), expected, "{form:?} cut at {cut}");
+        }
+    }
+}
+
+#[test]
+fn a_request_is_taken_back_in_every_form_of_its_number() {
+    for number in ["3", "3.0", "3e0", "30e-1"] {
+        let text =
+            format!("{{\"jsonrpc\":\"2.0\",\"method\":\"cancelRequest\",\"params\":{{\"id\":{number}}}}}\n");
+        assert_eq!(messages(&text, 0), [Message::Cancel(3)], "{number}");
+    }
+    for number in ["3.5", "-3", "\"3\"", "1e300", "null"] {
+        let text =
+            format!("{{\"jsonrpc\":\"2.0\",\"method\":\"cancelRequest\",\"params\":{{\"id\":{number}}}}}\n");
+        assert!(matches!(messages(&text, 0)[..], [Message::Bad(None, _)]), "{number}");
+    }
+}
