Keep those who have been heard from a flood that dribbles

At fault: net/places.rs, `make_room`. While those without a whole message hold over half of the places they make room among themselves, within 2.7 s each. A message that has begun protects a known connection for that long at the most, where a byte a second would have held its place for hours.

A newcomer in such a flood still waits 2 to 4 s for its place: a first request may take that long to arrive.

--- a/node/src/net/places.rs
+++ b/node/src/net/places.rs
@@ -130,8 +130,8 @@
     active: Micros,
     /// When it last brought anything, be it half a message.
     stirred: Micros,
-    /// Half a message has come.
-    unfinished: bool,
+    /// When a message began to come whose end has not come yet.
+    begun: Option<Micros>,
     /// It is being closed.
     retiring: bool,
     /// It has brought a request or a health check.
@@ -142,6 +142,13 @@
     wanted: Nudge,
 }
 
+impl Connection {
+    /// Until when the rest of a message that has begun to come is waited for, if one has.
+    fn message_until(&self) -> Option<Micros> {
+        self.begun.map(|begun| (self.stirred + STIRRED).min(begun + STRANGER_MOST))
+    }
+}
+
 /// All connections of the fronts.
 #[derive(Debug)]
 pub struct Places {
@@ -187,7 +194,7 @@
             open: HashMap::new(),
             active: now,
             stirred: now,
-            unfinished: false,
+            begun: None,
             retiring: false,
             known: false,
             errors: 0,
@@ -254,7 +261,8 @@
     /// A connection brought bytes, whether they make a message or not; whether a part of a message is left.
     pub fn stirred(&mut self, id: u64, now: Micros, unfinished: bool) {
         if let Some(c) = self.all.get_mut(&id) {
-            (c.stirred, c.unfinished) = (now, unfinished);
+            c.stirred = now;
+            c.begun = unfinished.then(|| c.begun.unwrap_or(now));
         }
     }
 
@@ -266,7 +274,7 @@
     /// A connection brought a request or a health check.
     pub fn heard(&mut self, id: u64, now: Micros) {
         if let Some(c) = self.all.get_mut(&id) {
-            (c.active, c.known, c.errors) = (now, true, 0);
+            (c.active, c.known, c.errors, c.begun) = (now, true, 0, None);
         }
     }
 
@@ -336,7 +344,7 @@
     pub fn rest(&self, id: u64, now: Micros) -> Rest {
         match self.all.get(&id) {
             Some(c) if !c.open.is_empty() => Rest::Open,
-            Some(c) if c.queued > 0 || (c.unfinished && c.stirred + STIRRED > now) => Rest::Unfinished,
+            Some(c) if c.queued > 0 || c.message_until().is_some_and(|until| until > now) => Rest::Unfinished,
             _ => Rest::Quiet,
         }
     }
@@ -357,14 +365,21 @@
     }
 
     /// Has one connection closed for the others, if any may be: of those that have said nothing whole first the one that
-    /// has been silent for longest, as a request may be on its way in pieces; then the one that was used least lately.
+    /// has been silent for longest, as a request may be on its way in pieces; then the one that was used least lately. While
+    /// those that have said nothing whole hold more than half of the places they make room among themselves: each ends
+    /// within [`STRANGER_MOST`], and a flood of them is not to push out who has been heard.
     pub fn make_room(&mut self, now: Micros) -> bool {
+        let (all, strangers) = (self.all.len(), self.all.values().filter(|c| !c.known).count());
         let unused =
             |c: &&mut Connection| c.open.is_empty() && !c.retiring && !c.out.closed() && c.queued == 0;
         let closable = self.all.values_mut().filter(unused);
-        let last = |c: &Connection| if c.known && !c.unfinished { c.active } else { c.stirred };
+        let last = |c: &Connection| if c.known { c.active } else { c.stirred };
+        let closable = closable.filter(|c| !c.known || c.message_until().is_none_or(|until| until <= now));
         let closable = closable.filter(|c| last(c) + if c.known { IN_USE } else { NEW } <= now);
         let Some(closed) = closable.min_by_key(|c| (c.known, last(c))) else { return false };
+        if closed.known && 2 * strangers > all {
+            return false;
+        }
         closed.wanted.give();
         true
     }
@@ -378,11 +393,10 @@
     /// open on it.
     pub fn idle_at(&self, id: u64, idle: Micros) -> Option<Micros> {
         let connection = self.all.get(&id)?;
-        let Connection { active, stirred, unfinished, .. } = *connection;
+        let Connection { active, stirred, .. } = *connection;
         let at = match connection.known {
             // A request that arrives in pieces has begun, though it is not read yet.
-            true if unfinished => (active + idle).max(stirred + STIRRED),
-            true => active + idle,
+            true => (active + idle).max(connection.message_until().unwrap_or(Micros::MIN)),
             false => {
                 let silent = (active + STRANGER).max(stirred + STIRRED);
                 silent.min(active + STRANGER_MOST).min(active + idle)
