Divide the core, the hub and the handover by concern

Hub::answer became a function for each front. Debug builds check the accounts after everything that the core is told.

--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -1,5 +1,6 @@
 //! The core alone: events in, effects out, no socket and no clock.
 
+use super::bounds::{CONNECTION, PROCESS, REQUEST};
 use super::*;
 
 const SECOND: Micros = 1_000_000;
--- /dev/null
+++ b/node/src/net/handover/predecessor.rs
@@ -0,0 +1,246 @@
+//! The side of the process that is replaced: it offers its place, passes on what it has, and yields.
+
+use super::*;
+use pipitlever_handover::predecessor::{Act, Stage as Step};
+
+/// The place where a successor finds this process.
+pub struct Offer {
+    executor: Rc<LocalExecutor<'static>>,
+    hub: Shared,
+    fronts: Rc<Fronts>,
+    name: String,
+    place: PathBuf,
+    /// Ends what is there now.
+    close: RefCell<Nudge>,
+}
+
+impl Offer {
+    /// Nothing is there yet.
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        hub: Shared,
+        fronts: Rc<Fronts>,
+        name: String,
+        place: PathBuf,
+    ) -> Rc<Offer> {
+        Rc::new(Offer { executor, hub, fronts, name, place, close: RefCell::default() })
+    }
+
+    /// Waits for a successor from now on. A socket that is there is taken over: whoever had it is dead, or leaves.
+    pub fn open(self: &Rc<Offer>) {
+        let fresh = self.place.with_extension(format!("{}", std::process::id()));
+        // One that a crash has left under this very number.
+        let _ = std::fs::remove_file(&fresh);
+        let bound = UnixListener::bind(&fresh).and_then(|listener| {
+            // Under its name only once it listens, and in one step: whoever comes finds one that answers.
+            std::fs::rename(&fresh, &self.place)?;
+            Async::<UnixListener>::new(listener)
+        });
+        let listener = match bound {
+            Ok(listener) => listener,
+            Err(error) => {
+                let _ = std::fs::remove_file(&fresh);
+                return log(&format!("handover: off: {}: {error}", self.place.display()));
+            }
+        };
+        let (offer, close) = (self.clone(), Nudge::new());
+        *self.close.borrow_mut() = close.clone();
+        let accepting = async move {
+            loop {
+                let Ok(stream) = listener.accept().await else {
+                    Timer::at(ahead(50)).await;
+                    continue;
+                };
+                let Some(peer) = Peer::of(&stream) else {
+                    log("handover: a process of another user was turned away");
+                    continue;
+                };
+                if let Ok(stream) = Async::<UnixStream>::new(stream) {
+                    offer.executor.spawn(welcome(offer.clone(), stream, peer)).detach();
+                }
+            }
+        };
+        self.executor.spawn(future::or(accepting, async move { close.wait().await })).detach();
+    }
+
+    /// Nobody finds this process any more: its successor is to be found there by now.
+    fn pass_on(&self) {
+        self.close.borrow().give();
+    }
+
+    /// Nobody finds this process any more. Who comes begins as if there had never been one.
+    pub fn close(&self) {
+        self.pass_on();
+        let _ = std::fs::remove_file(&self.place);
+    }
+}
+
+/// One that has come to take over, from its first word to its end.
+async fn welcome(offer: Rc<Offer>, stream: Async<UnixStream>, peer: Peer) {
+    let hub = &offer.hub;
+    let mut reader = Reader::default();
+    let greeted = async {
+        let mut bytes = [0; 512];
+        while !reader.greeted() {
+            match stream.read(&mut bytes).await {
+                Ok(n) if n > 0 => reader.feed(&bytes[..n]),
+                _ => return Err("it left without a word".to_owned()),
+            }
+            // There is nothing for it to say yet.
+            match reader.message() {
+                Ok(None) => {}
+                Ok(Some(_)) => return Err("it spoke out of turn".into()),
+                Err(broken) => return Err(broken.to_string()),
+            }
+        }
+        Ok(())
+    };
+    let greeted = by(ahead(PATIENCE_MS), greeted).await;
+    if let Err(why) = greeted.unwrap_or_else(|| Err("it said nothing".into())) {
+        // Its own version, so that a process of another one can say so.
+        let _ = stream.write(&message::greeting()).await;
+        return log(&format!("handover: a process was turned away: {why}"));
+    }
+    if !hub.borrow_mut().predecessor.met() {
+        return log("handover: a process was turned away: another one takes over already");
+    }
+    log("handover: a process has come to take over");
+    let why = future::or(write(&offer, &stream), read(&offer, &mut reader, &stream)).await;
+    // Whoever still reads at the other end is to see that this is over.
+    drop(stream);
+    let yielded = hub.borrow().predecessor.awaits_death();
+    if yielded {
+        // As long as it lives it may serve, and two must not.
+        peer.died(None).await;
+    }
+    let acts = hub.borrow_mut().predecessor.lost();
+    if !yielded {
+        log(&format!("handover: not done, this process serves on: {why}"));
+    } else if !acts.is_empty() {
+        log(&format!("handover: the process that took over is gone, this one serves again: {why}"));
+    }
+    acts.iter().for_each(|act| act_on(&offer, *act));
+}
+
+/// Tells the successor what there is, until it can't be told; why not.
+async fn write(offer: &Offer, stream: &Async<UnixStream>) -> String {
+    let (hub, sockets) = (&offer.hub, offer.fronts.sockets());
+    let listening = sockets.iter().map(|(front, at, _)| Listening { protocol: front.word().into(), at: *at });
+    let mut listening: Vec<Listening> = listening.collect();
+    let part = hub.borrow().callers.fleet.clone();
+    let member = part.as_ref().map(|part| part.sockets());
+    if let Some((udp, tcp)) = member {
+        let at = [udp.local_addr(), tcp.local_addr()];
+        let named = FLEET.into_iter().zip(at);
+        listening.extend(
+            named.filter_map(|(protocol, at)| Some(Listening { protocol: protocol.into(), at: at.ok()? })),
+        );
+    }
+    let Salt(salt) = hub.borrow().salt;
+    let mut bytes = message::greeting();
+    message::write(&Message::Welcome(Welcome { name: offer.name.clone(), listening, salt }), &mut bytes);
+    let passed = sockets.iter().map(|(_, _, listener)| listener.get_ref().as_fd());
+    let passed = passed.chain(member.into_iter().flat_map(|(udp, tcp)| [udp.as_fd(), tcp.as_fd()]));
+    let passed: Vec<_> = passed.collect();
+    let first = by(ahead(PATIENCE_MS), stream.send_with(&bytes, &passed)).await;
+    let Some(Ok(sent)) = first else { return "its welcome could not be sent".into() };
+    drop(sockets);
+    let mut rest = bytes.split_off(sent);
+    let news = hub.borrow().news.clone();
+    let mut said = Said::default();
+    loop {
+        match by(ahead(PATIENCE_MS), stream.write_all(&rest)).await {
+            Some(Ok(())) => {}
+            Some(Err(error)) => return error.to_string(),
+            // What it does not read would gather here.
+            None => return "it does not read".into(),
+        }
+        rest.clear();
+        while !next_piece(hub, &mut rest, &mut said) {
+            news.wait().await;
+        }
+    }
+}
+
+/// What a successor has been told beside keys.
+#[derive(Default)]
+struct Said {
+    end: bool,
+    yielded: bool,
+}
+
+/// What is to be told next, in one piece; whether there is anything. All keys come before `End`, then those that change.
+fn next_piece(hub: &Shared, piece: &mut Vec<u8>, said: &mut Said) -> bool {
+    let mut hub = hub.borrow_mut();
+    let to_unix = hub.clock.ahead_to_unix();
+    while piece.len() < PIECE {
+        let Some(message) = hub.core.next_news(to_unix) else { break };
+        message::write(&message, piece);
+    }
+    let stage = hub.predecessor.stage();
+    if stage == Step::Yielded && !std::mem::replace(&mut said.yielded, true) {
+        let member = hub.callers.fleet.as_ref().map(|part| part.pass_on());
+        message::write(&Message::Yielded { member }, piece);
+    }
+    if piece.is_empty() && !said.end && stage == Step::Frozen {
+        said.end = true;
+        let (standby, share) = (hub.core.standing_by(), hub.core.share_wanted());
+        // What this process has taken of the memory beyond its half, its successor leaves to it.
+        hub.share(Some(share));
+        message::write(&Message::End { standby, share }, piece);
+    }
+    hub.telling = piece.len();
+    !piece.is_empty()
+}
+
+/// Listens to the successor until its end, or until it says what it may not; which.
+async fn read(offer: &Rc<Offer>, reader: &mut Reader, stream: &Async<UnixStream>) -> String {
+    let mut bytes = [0; 512];
+    loop {
+        loop {
+            let said = match reader.message() {
+                Ok(Some(said)) => said,
+                Ok(None) => break,
+                Err(broken) => return broken.to_string(),
+            };
+            let act = offer.hub.borrow_mut().predecessor.heard(&said);
+            if act == Act::Drop {
+                return "it spoke out of turn".into();
+            }
+            act_on(offer, act);
+        }
+        match stream.read(&mut bytes).await {
+            Ok(n) if n > 0 => reader.feed(&bytes[..n]),
+            _ => return "it ended".into(),
+        }
+    }
+}
+
+fn act_on(offer: &Rc<Offer>, act: Act) {
+    let hub = &offer.hub;
+    match act {
+        Act::Unshare => hub.borrow_mut().share(None),
+        Act::Freeze => {
+            let mut hub = hub.borrow_mut();
+            hub.core.freeze();
+            hub.news.give();
+        }
+        Act::Thaw => hub.borrow_mut().core.thaw(),
+        Act::Yield => {
+            log("handover: done, the other process serves");
+            offer.fronts.pause();
+            hub.borrow().callers.fleet.iter().for_each(|part| part.pause());
+            offer.pass_on();
+            hub.borrow().news.give();
+        }
+        Act::Resume => {
+            hub.borrow_mut().tell(|core, now| core.doubt_keys(now));
+            // Before the fronts: what it acts on may be stale by now, and nobody is to be let in before that is known.
+            let part = hub.borrow().callers.fleet.clone();
+            part.iter().for_each(|part| part.resume());
+            offer.fronts.open();
+            offer.open();
+        }
+        Act::Drop => {}
+    }
+}
--- /dev/null
+++ b/node/src/net/handover/successor.rs
@@ -0,0 +1,216 @@
+//! The side of the process that takes over: it meets the one before it, follows it, and serves in its place.
+
+use super::*;
+use pipitlever_handover::successor::{Act, Lost, Stage, Successor};
+
+/// A predecessor that has passed its sockets on.
+pub struct Met {
+    stream: Async<UnixStream>,
+    peer: Peer,
+    reader: Reader,
+    machine: Successor,
+    /// What makes the digests of bodies the node's own.
+    pub salt: Salt,
+    /// The sockets.
+    pub sockets: Vec<(Front, SocketAddr, Async<TcpListener>)>,
+    /// Those of the fleet, if it is in one.
+    pub fleet: Option<Sockets>,
+}
+
+/// Meets the process that this one takes over from, if there is one. An error is a process that is there and can't be taken
+/// over from: it serves on.
+pub async fn meet(place: &Path, name: &str, listen: SocketAddr) -> Result<Option<Met>, String> {
+    let until = ahead(LEAVING_MS);
+    loop {
+        let stream = match UnixStream::connect(place) {
+            Ok(stream) => stream,
+            // Nobody, or what a crash has left.
+            Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => {
+                return Ok(None)
+            }
+            Err(e) => return Err(format!("handover: {}: {e}", place.display())),
+        };
+        let Some(peer) = Peer::of(&stream) else {
+            return Err(format!("handover: {}: a process of another user listens there", place.display()));
+        };
+        let stream = Async::<UnixStream>::new(stream).map_err(|e| format!("handover: {e}"))?;
+        match by(ahead(PATIENCE_MS), welcomed(&stream)).await {
+            Some(Ok(Some((machine, reader, welcome, passed)))) => {
+                let (sockets, fleet) = taken_over(&welcome, passed, name, listen)?;
+                let salt = Salt(welcome.salt);
+                return Ok(Some(Met { stream, peer, reader, machine, salt, sockets, fleet }));
+            }
+            // It leaves, died, or has another successor already.
+            Some(Ok(None)) if Instant::now() < until => {
+                Timer::at(ahead(PAUSE_MS)).await;
+            }
+            Some(Ok(None)) => return Err("handover: the process that is there turns this one away".into()),
+            Some(Err(why)) => {
+                return Err(format!("handover: the process that is there can't be understood: {why}"))
+            }
+            None => return Err("handover: the process that is there says nothing".into()),
+        }
+    }
+}
+
+type Welcomed = (Successor, Reader, Welcome, Vec<OwnedFd>);
+
+async fn welcomed(stream: &Async<UnixStream>) -> Result<Option<Welcomed>, String> {
+    let (mut machine, mut reader) = (Successor::greeting(), Reader::default());
+    if stream.write_all(&message::greeting()).await.is_err() {
+        return Ok(None);
+    }
+    let (mut bytes, mut passed) = ([0; 4096], Vec::new());
+    loop {
+        match stream.receive_with(&mut bytes, &mut passed).await {
+            Ok(n) if n > 0 => reader.feed(&bytes[..n]),
+            _ => return Ok(None),
+        }
+        match reader.message().map_err(|broken| broken.to_string())? {
+            None => {}
+            Some(said) => {
+                return match machine.heard(said) {
+                    Act::Sockets(welcome) => Ok(Some((machine, reader, welcome, passed))),
+                    Act::GiveUp(why) => Err(why.into()),
+                    _ => Err("it does not say who it is".into()),
+                }
+            }
+        }
+    }
+}
+
+/// What came: the fronts' sockets, and the fleet's.
+type TakenOver = (Vec<(Front, SocketAddr, Async<TcpListener>)>, Option<Sockets>);
+
+/// The sockets that came, if they are those of this very node.
+fn taken_over(
+    welcome: &Welcome,
+    passed: Vec<OwnedFd>,
+    name: &str,
+    listen: SocketAddr,
+) -> Result<TakenOver, String> {
+    let wrong = |what: String| Err(format!("handover: the process that is there {what}"));
+    if welcome.name != name {
+        return wrong(format!("is of node {}, this one is {name}", welcome.name));
+    }
+    if welcome.listening.len() != passed.len() {
+        return wrong("passes other sockets than it says".into());
+    }
+    let (mut sockets, mut udp, mut tcp) = (Vec::new(), None, None);
+    for (said, passed) in welcome.listening.iter().zip(passed) {
+        if said.protocol == FLEET[0] {
+            udp = Some(UdpSocket::from(passed));
+            continue;
+        }
+        if said.protocol == FLEET[1] {
+            tcp = Some(TcpListener::from(passed));
+            continue;
+        }
+        let Some(front) = Front::named(&said.protocol) else {
+            return wrong(format!("speaks {}", said.protocol));
+        };
+        let listener = TcpListener::from(passed);
+        let at = listener.local_addr().map_err(|e| format!("handover: no listening socket came: {e}"))?;
+        if at != said.at || (front == Front::Gateway && at != listen) {
+            return wrong(format!("listens on {at}"));
+        }
+        sockets.push((front, at, Async::<TcpListener>::new(listener).map_err(|e| format!("handover: {e}"))?));
+    }
+    Ok((sockets, udp.zip(tcp).map(|(udp, tcp)| Sockets { udp, tcp })))
+}
+
+impl Met {
+    /// Takes over once this process is ready, and follows the predecessor to its end. An error means that this process is to end,
+    /// and the other one serves on.
+    pub async fn take_over(mut self, hub: &Shared, serve: impl Fn(Option<Vec<u8>>)) -> Result<(), String> {
+        self.follow(hub, &serve).await?;
+        // A connection can end while both live, and two must not serve.
+        let dead = !self.machine.asks_for_death() || self.peer.died(Some(ahead(DYING_MS))).await;
+        match self.machine.lost(dead) {
+            Lost::GiveUp => return Err("handover: the process that is there has broken off".into()),
+            Lost::Settled => log("handover: the process before this one has ended"),
+            Lost::Doubtful | Lost::Nobody => {
+                log("handover: the process before this one died before its keys were here: unknown keys wait for a window");
+                hub.borrow_mut().tell(|core, now| core.doubt_keys(now));
+            }
+        }
+        hub.borrow_mut().tell(|core, now| core.orphaned(now));
+        hub.borrow_mut().share(None);
+        if !hub.borrow().taking {
+            serve(None);
+        }
+        Ok(())
+    }
+
+    /// Until the connection ends, or the predecessor, which lives, can't be followed.
+    async fn follow(&mut self, hub: &Shared, serve: &impl Fn(Option<Vec<u8>>)) -> Result<(), String> {
+        let mut bytes = vec![0; PIECE];
+        let ready = async {
+            while hub.borrow().core.fresh() {
+                Timer::at(ahead(5)).await;
+            }
+            None
+        };
+        // It has nothing to say until it is asked, but it may end.
+        match future::or(ready, async { Some(self.stream.read(&mut bytes).await) }).await {
+            None => {}
+            Some(Ok(n)) if n > 0 => {
+                return Err("handover: the process that is there speaks out of turn".into())
+            }
+            Some(_) => return Ok(()),
+        }
+        self.machine.ready();
+        let mut out = Vec::new();
+        message::write(&Message::Freeze, &mut out);
+        let until = ahead(PATIENCE_MS);
+        loop {
+            if !out.is_empty() {
+                // Few bytes, which go out whole. If nobody is there, the end of the connection says so.
+                let _ = by(ahead(PATIENCE_MS), self.stream.write_all(&out)).await;
+                out.clear();
+            }
+            let read = match self.machine.stage() {
+                Stage::Serving => Some(self.stream.read(&mut bytes).await),
+                _ => by(until, self.stream.read(&mut bytes)).await,
+            };
+            match read {
+                Some(Ok(n)) if n > 0 => self.reader.feed(&bytes[..n]),
+                Some(_) => return Ok(()),
+                None => return Err("handover: the process that is there does not tell its keys".into()),
+            }
+            loop {
+                let serving = self.machine.stage() == Stage::Serving;
+                let act = match self.reader.message() {
+                    Ok(None) => break,
+                    Ok(Some(said)) => self.machine.heard(said),
+                    Err(_) => Act::GiveUp("it can't be understood"),
+                };
+                match act {
+                    // It serves by now, and must not end for what another process says.
+                    Act::GiveUp(_) if serving => return Ok(()),
+                    Act::GiveUp(why) => return Err(format!("handover: the process that is there: {why}")),
+                    Act::Sockets(_) => {}
+                    Act::Enter(key) => {
+                        let mut hub = hub.borrow_mut();
+                        let until = hub.clock.of_unix(key.until);
+                        hub.tell(|core, now| core.enter(now, key, until));
+                    }
+                    Act::Free(key) => {
+                        hub.borrow_mut().tell(|core, now| core.freed(now, &key));
+                    }
+                    Act::Take { standby, share } => {
+                        let mut hub = hub.borrow_mut();
+                        hub.core.stand_by(standby);
+                        // Something is left for this one even if the other one has it all.
+                        hub.share(Some((1.0 - share).max(0.05)));
+                        message::write(&Message::Taken, &mut out);
+                    }
+                    Act::Serve(member) => {
+                        log("handover: taken over, this process serves");
+                        serve(member);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/node/src/net/hub.rs
+++ b/node/src/net/hub.rs
@@ -11,7 +11,6 @@
 use super::routes::{Backend, Named, Uwsgi};
 use crate::log::log;
 use pipitlever::{Idempotency, Micros, Outcome, Settings};
-use pipitlever_core::classes::Seat;
 use pipitlever_core::counters::Files;
 use pipitlever_core::durable::Durable;
 use pipitlever_core::{Answer, Bounds, Core, Effect, End, Gauges, Incoming, Origin, Reference, Rejected};
@@ -26,10 +25,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+mod answers;
 mod clients;
 mod gateways;
 mod leaving;
 mod notices;
+mod tuning;
+
+use tuning::classes;
+pub use tuning::{Class, Limits, Parties, Tuning};
 
 /// Places that are kept free for newcomers once connections get scarce, and the part of all places that they are at the most:
 /// the closing of one that is idle takes some time.
@@ -39,100 +43,6 @@
 /// The hub as the drivers hold it: one thread, so a cell is enough.
 pub type Shared = Rc<RefCell<Hub>>;
 
-/// A class of work, by its place in the core.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Class {
-    /// Its name.
-    pub name: Rc<str>,
-    /// Whether its requests carry a key.
-    pub keyed: bool,
-    /// The path under which workers serve it; without one it is the processor's.
-    pub workers_path: Option<String>,
-    /// Their pool, by position, and whether tries with one key go to the same of them.
-    pool: (usize, bool),
-    /// The rank of its requests where the wire has none: the middle of its band.
-    rank: f64,
-}
-
-/// Where the other parties are: what a new configuration may change while the node runs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Parties {
-    /// The processor, if there is one.
-    pub processor: Option<SocketAddr>,
-    /// The ledger; the last tier has none.
-    pub ledger: Option<SocketAddr>,
-    /// The membership service, if there is one.
-    pub members: Option<SocketAddr>,
-    /// The pools of uwsgi workers.
-    pub pools: Vec<Named>,
-}
-
-/// What the process may take of the machine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Limits {
-    /// Bytes of memory.
-    pub memory: usize,
-    /// Descriptors.
-    pub sockets: usize,
-    /// Of these, those that the fronts leave to all else.
-    pub kept_back: usize,
-}
-
-impl Limits {
-    /// Connections that there may be, of the fronts and to the workers together. Beside another process a half of the
-    /// descriptors is this one's, and what it keeps back is of that.
-    pub fn connections(&self, shared: bool) -> usize {
-        let sockets = self.sockets / if shared { 2 } else { 1 };
-        sockets.saturating_sub(self.kept_back).max(8)
-    }
-
-    /// The shares of the memory.
-    pub fn bounds(&self, shared: bool) -> Bounds {
-        Bounds::within(self.memory / if shared { 2 } else { 1 }, self.connections(shared))
-    }
-}
-
-/// What decides about requests and may change while the node runs.
-#[derive(Clone, Debug)]
-pub struct Tuning {
-    /// The module's settings.
-    pub settings: Settings,
-    /// The names of the classes, in their order there.
-    pub classes: Vec<String>,
-    /// The names of the tenants, in their order there.
-    pub tenants: Vec<String>,
-    /// The names of the gauges, as the processor lists them.
-    pub gauges: Vec<String>,
-    /// The shortest gap between two rounds of decisions.
-    pub round: Micros,
-    /// Callers mark each further try.
-    pub marked: bool,
-    /// The uwsgi front, the workers and the routes; off unless a file says otherwise.
-    pub uwsgi: Uwsgi,
-}
-
-/// Classes of a configuration, their names, and their places.
-type Seated = (Vec<Class>, Vec<Rc<str>>, Vec<Seat>);
-
-/// The classes of a configuration, in its order.
-fn classes(tuning: &Tuning) -> Vec<Class> {
-    let Tuning { settings, classes: names, uwsgi, .. } = tuning;
-    let all = &settings.classes;
-    let class = |(name, class): (&String, &pipitlever::Class)| {
-        // Classes have equal bands of rank, in ascending order of worth.
-        let below = all.iter().filter(|c| c.worth < class.worth).count() as f64;
-        let route = uwsgi.routes.iter().find(|r| r.class == *name && r.backend == Backend::Workers);
-        Class {
-            keyed: class.idempotency == Idempotency::Keyed,
-            workers_path: route.map(|r| r.path.clone()),
-            pool: route.map_or((0, false), |r| (uwsgi.pool(r), r.sticky)),
-            rank: (below + 0.5) / all.len() as f64,
-            name: name.as_str().into(),
-        }
-    };
-    names.iter().zip(all).map(class).collect()
-}
-
 /// All that the drivers share.
 pub struct Hub {
     /// The node's memory.
@@ -240,49 +150,10 @@
         }
     }
 
-    /// The names of the classes, by position.
-    pub fn class_names(&self) -> Vec<String> {
-        self.core.classes.names()
-    }
-
-    /// Whether another configuration's classes find their places.
-    pub fn fits(&self, new: &Tuning) -> Result<(), String> {
-        self.seated(new).map(drop)
-    }
-
-    fn seated(&self, new: &Tuning) -> Result<Seated, String> {
-        let wanted = classes(new);
-        let names: Vec<Rc<str>> = wanted.iter().map(|c| c.name.clone()).collect();
-        let core = &self.core;
-        let same = |at: usize, class: usize| {
-            // A band of ranks that moves is no reason to begin a class anew.
-            let old = Class { rank: wanted[class].rank, ..self.classes[at].clone() };
-            old == wanted[class] && *core.class(at) == new.settings.classes[class]
-        };
-        let seats = core.classes.seat(&names, same, |at| core.class_in_use(at))?;
-        Ok((wanted, names, seats))
-    }
-
-    /// Takes over the settings, classes and routes of another configuration, and says whether the module was told
-    /// anything; or nothing of it, and says why not.
-    pub fn retune(&mut self, new: Tuning) -> Result<bool, String> {
-        let (wanted, names, seats) = self.seated(&new)?;
-        for (class, seat) in wanted.into_iter().zip(&seats) {
-            match self.classes.get_mut(seat.at) {
-                Some(place) => *place = class,
-                None => self.classes.push(class),
-            }
-        }
-        self.uwsgi.routes = new.uwsgi.routes;
-        self.gauge_names = new.gauges;
-        self.tenants = new.tenants;
-        self.core.marked = new.marked;
-        Ok(self.core.retune(new.settings, new.round, &names, &seats))
-    }
-
     /// Tells the core something and carries out what comes of it.
     pub fn tell(&mut self, tell: impl FnOnce(&mut Core, Micros)) {
         tell(&mut self.core, self.clock.now());
+        debug_assert!(self.core.balanced(), "{}", self.core.counters);
         // Two lists change places, and are kept: one is filled while the other is worked off.
         let mut effects = std::mem::take(&mut self.effects);
         loop {
@@ -340,57 +211,6 @@
         }
     }
 
-    fn answer(&mut self, origin: Origin, answer: Answer) {
-        let (level, now) = (self.core.level(), self.clock.now());
-        let Some((front, class)) = self.places.answered(origin, now) else {
-            self.core.counters.undelivered += 1;
-            return;
-        };
-        let worked = self.classes[class].workers_path.is_some();
-        let Origin { connection, number } = origin;
-        let sent = self.places.send(connection, |out| match front {
-            Front::Gateway => match answer {
-                Answer::Served(result) => {
-                    let result = if worked { Response::plain_body(&result) } else { Some(&*result) };
-                    match result.filter(|r| r.len() <= jsonrpc::MOST_RESULT) {
-                        Some(result) => jsonrpc::served(out, number, result, level),
-                        None => jsonrpc::failed(out, Some(number), Code::Failed, level),
-                    }
-                }
-                Answer::Refused { cooldown, nowhere } => {
-                    jsonrpc::refused(out, number, (cooldown as u64).div_ceil(1000), nowhere, level);
-                }
-                // On this wire only a refusal has a field for when to come back.
-                Answer::Unknown { .. } => jsonrpc::failed(out, Some(number), Code::Failed, level),
-                Answer::Failed { expired } => {
-                    let code = if expired { Code::Expired } else { Code::Failed };
-                    jsonrpc::failed(out, Some(number), code, level);
-                }
-            },
-            Front::Uwsgi => match answer {
-                Answer::Served(result) if worked => {
-                    pipitlever_wire::copied(result.len());
-                    out.extend_from_slice(&result);
-                }
-                Answer::Served(result) => uwsgi::response(out, Status::Ok, None, &result),
-                Answer::Refused { cooldown, .. } => {
-                    let seconds = (cooldown as u64).div_ceil(1_000_000);
-                    uwsgi::response(out, Status::Unavailable, Some(seconds), b"");
-                }
-                Answer::Unknown { back } => {
-                    let seconds = (back as u64).div_ceil(1_000_000);
-                    uwsgi::response(out, Status::BadGateway, Some(seconds), b"");
-                }
-                Answer::Failed { expired: true } => uwsgi::response(out, Status::GatewayTimeout, None, b""),
-                Answer::Failed { expired: false } => uwsgi::response(out, Status::BadGateway, None, b""),
-            },
-        });
-        self.core.counters.undelivered += u64::from(!sent);
-        if front == Front::Uwsgi {
-            self.places.finish(connection);
-        }
-    }
-
     /// A connection was accepted, and takes a place until [`Hub::disconnected`].
     pub fn connected(&mut self, front: Front) -> Place {
         self.core.counters.accepted += 1;
@@ -412,7 +232,7 @@
     pub fn make_room(&mut self) {
         let spare = MOST_SPARE.min(self.sockets / SPARE_PART);
         let excess = (self.places.taken() + self.pools.in_flight() + spare).saturating_sub(self.sockets);
-        if self.places.leaving() < excess {
+        if excess > 0 && self.places.leaving() < excess {
             self.core.counters.crowded_out += u64::from(self.places.make_room(self.clock.now()));
         }
     }
@@ -475,14 +295,6 @@
         self.tell(|core, now| core.call_ended(now, reference, outcome, Rc::from(reply)));
     }
 
-    /// The parties are where this says from now on. What is out with the old ones may still come home.
-    pub fn moved(&mut self, parties: Parties) {
-        self.link.moved(parties.processor);
-        self.calls.moved(parties.ledger);
-        self.members = parties.members;
-        self.pools.moved(parties.pools, self.clock.now());
-    }
-
     /// A place for a run, where there is one.
     pub fn place(&mut self, job: &Job, key: Option<u64>, tried: &[(usize, u32)]) -> Option<Put> {
         // The fronts keep half of the connections: without callers no run is of use.
@@ -500,21 +312,6 @@
         self.pools.place_at(self.clock.now(), job, at, tried)
     }
 
-    /// What the process may take; so many connections there may be, of the fronts and to the workers together.
-    pub fn bound(&mut self, limits: Limits) {
-        self.limits = limits;
-        self.sockets = limits.connections(false);
-    }
-
-    /// Another process of this node is there, and this one may take so much of the processor's memory, and half of all else;
-    /// or it is alone.
-    pub fn share(&mut self, share: Option<f64>) {
-        let bounds = self.limits.bounds(share.is_some());
-        self.sockets = self.limits.connections(share.is_some());
-        self.places.bound(bounds.answers);
-        self.core.share_room(share, bounds);
-    }
-
     /// Whether there are more connections than there may be.
     pub fn crowded(&self) -> bool {
         self.places.taken() + self.pools.in_flight() > self.sockets
