Spare no member of a pool where all of them are new

Seen on reading again: where all usable members warm up, as after a reload that replaces them all, nearly all are left out of each request's choice, and the fall-back takes the least loaded of all: four members got 344, 20, 23 and 13 of 400 runs. At fault: pools/src/pool/place.rs, `left_out`. ramp.rs has a test that fails without the mend, and prints the figures of all four sizes before it judges them, so that they can be had from older code as well.

--- a/pools/src/pool/place.rs
+++ b/pools/src/pool/place.rs
@@ -39,6 +39,10 @@
     /// loaded one, so it may be among them half as often; what all processes send together then keeps to the ramp.
     fn left_out(&mut self, now: Micros) -> Vec<usize> {
         let mut left_out = Vec::new();
+        if self.warming.len() == self.usable.len() {
+            // All are as new: nobody else can take what they are spared.
+            return left_out;
+        }
         for at in 0..self.warming.len() {
             let i = self.warming[at];
             let part = self.part(now, i);
--- a/pools/tests/ramp.rs
+++ b/pools/tests/ramp.rs
@@ -102,26 +102,40 @@
 
 #[test]
 fn a_new_member_warms_up_under_the_sum_of_all_callers() {
+    let mut wrong = Vec::new();
     for callers in [1, 5, 20, 30] {
-        let mut over = 0;
-        let mut windows = 0;
-        let (mut got, mut allowed) = (0.0, 0.0);
+        let (mut over, mut windows) = (0, 0);
         for seed in 0..20 {
             for (late, restart) in [(0, None), (3 * SECOND, None), (SECOND, Some(1_500_000))] {
                 let loads = play(Play { callers, seed, late, restart });
-                let sums: [f64; 2] = [loads.got.iter().sum(), loads.allowed.iter().sum()];
-                assert!(
-                    sums[0] <= most(sums[1]),
-                    "{callers} callers, seed {seed}, {late}, {restart:?}: {sums:?}"
-                );
-                got += sums[0];
-                allowed += sums[1];
+                let [got, allowed] = [&loads.got, &loads.allowed].map(|all| all.iter().sum::<f64>());
+                if got > most(allowed) {
+                    wrong.push(format!(
+                        "{callers} callers, seed {seed}, {late}, {restart:?}: {got} of {allowed:.0}"
+                    ));
+                }
                 windows += loads.got.len();
                 over += loads.got.iter().zip(&loads.allowed).filter(|(g, a)| **g > most(**a)).count();
             }
         }
-        println!("{callers} callers: {got:.0} runs where {allowed:.0} are allowed; {over} of {windows} half seconds over");
+        println!("{callers} callers: {over} of {windows} half seconds over the bound");
         // Two standard deviations and two runs more: one in fifty would still be chance.
-        assert!(over * 50 <= windows, "{callers} callers: {over} of {windows} half seconds over");
+        if over * 50 > windows {
+            wrong.push(format!("{callers} callers: {over} of {windows} half seconds"));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+#[test]
+fn where_all_members_are_new_none_is_spared() {
+    let mut pool = Pool::new(Rules::default(), vec![Member::at(99)], 1, 0);
+    pool.update(members(4), 0);
+    let mut got = [0; 4];
+    for at in 0..400 {
+        let Place::At { run, address, .. } = pool.place(at, Ask::default()) else { panic!("there is room") };
+        pool.ended(at + 1, run, End::Well);
+        got[address] += 1;
     }
+    assert!(got.iter().all(|runs| *runs > 50), "{got:?}");
 }
