--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -348,9 +348,8 @@
     hub.borrow_mut().retire_all();
     // What comes before a connection is half-closed is answered as well.
     until(stop, || hub.borrow().places.taken() == 0 && hub.borrow().settled()).await;
-    let owed = hub.borrow().core.owed();
-    if owed > 0 || hub.borrow().places.queued() > 0 {
-        log(&format!("draining: stopped with owed={owed}"));
+    if !hub.borrow().settled() {
+        log(&format!("draining: stopped with owed={}", hub.borrow().core.owed()));
     }
 }
 
