Look for the predecessor again while the address is in use

What was seen: the known failure a_process_that_dies_in_any_step_of_a_replacement_leaves_one_member_that_lives, 2 of 10 runs beside six busy processes on: the process started after a successor was killed ended 5 s later with "cannot listen on ADDRESS: Address already in use". The test then waits 60 s for a line that never comes, which is what earlier runs "without result in 60 s" were.

Cause, from that run's log: the new process connected to the dead successor's socket 1 to 25 ms before the predecessor noticed the death and opened its own ("the successor exited, this process serves again"). Refused means no predecessor, so it waited for the address only, which the predecessor keeps.

Change: each retry while the address is in use looks for the predecessor again, within the 5 s that the wait had. The first wait is logged.

--- a/crates/node/src/lifecycle/sockets.rs
+++ b/crates/node/src/lifecycle/sockets.rs
@@ -2,6 +2,7 @@
 //! bound.
 
 use crate::config::platform::Config;
+use crate::log::log;
 use crate::net::connections::Front;
 use crate::net::hot_restart::{self, AdoptedSockets, FrontListener, PredecessorConnection};
 use crate::net::{after_ms, membership};
@@ -36,17 +37,19 @@
         config: &Config,
         meeting_place: Option<&Path>,
     ) -> Result<OpenedSockets, String> {
-        let mut predecessor = match meeting_place {
-            Some(place) if config.listen.port() != 0 => {
-                hot_restart::connect_to_predecessor(place, &config.name, config.listen)
-                    .await
-                    .map_err(|error| error.to_string())?
+        let (predecessor, passed) = match claim_client_address(config, meeting_place).await? {
+            ClientAddress::PassedOn(mut predecessor) => {
+                let passed = std::mem::take(&mut predecessor.sockets);
+                (Some(*predecessor), passed)
+            }
+            ClientAddress::Bound(listener) => {
+                let fronts = vec![(Front::Gateway, config.listen, listener)];
+                let passed = AdoptedSockets {
+                    fronts,
+                    membership: None,
+                };
+                (None, passed)
             }
-            _ => None,
-        };
-        let passed = match &mut predecessor {
-            Some(predecessor) => std::mem::take(&mut predecessor.sockets),
-            None => AdoptedSockets::default(),
         };
         let fronts = open_fronts(config, passed.fronts).await?;
         let membership = open_membership(config, passed.membership).await?;
@@ -59,6 +62,49 @@
     }
 }
 
+/// How this process comes by the gateways' address.
+enum ClientAddress {
+    /// The process that it replaces passes its sockets on.
+    PassedOn(Box<PredecessorConnection>),
+    /// It was free.
+    Bound(Async<TcpListener>),
+}
+
+/// Connects to the predecessor or binds the gateways' address, whichever is possible first.
+///
+/// Both can be impossible for a while: a process that shuts down keeps its address, and one whose
+/// successor has died opens its meeting place again only once it has noticed.
+async fn claim_client_address(
+    config: &Config,
+    meeting_place: Option<&Path>,
+) -> Result<ClientAddress, String> {
+    // No other process has a port that the system picks.
+    let meeting_place = meeting_place.filter(|_| config.listen.port() != 0);
+    let timeout = after_ms(ADDRESS_TIMEOUT_MS);
+    let mut has_logged = false;
+    loop {
+        if let Some(place) = meeting_place {
+            let connected =
+                hot_restart::connect_to_predecessor(place, &config.name, config.listen).await;
+            if let Some(predecessor) = connected.map_err(|error| error.to_string())? {
+                return Ok(ClientAddress::PassedOn(Box::new(predecessor)));
+            }
+        }
+        match Async::<TcpListener>::bind(config.listen) {
+            Ok(listener) => return Ok(ClientAddress::Bound(listener)),
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < timeout => {}
+            Err(e) => return Err(format!("cannot listen on {}: {e}", config.listen)),
+        }
+        if !std::mem::replace(&mut has_logged, true) {
+            log(&format!(
+                "starting: address in use, and no process to take over from: address={}",
+                config.listen
+            ));
+        }
+        Timer::at(after_ms(BIND_RETRY_MS)).await;
+    }
+}
+
 /// The configured front ends' listeners, passed on or bound.
 async fn open_fronts(
     config: &Config,
@@ -70,7 +116,8 @@
     for (front, address) in wanted {
         let is_wanted = |(f, a, _): &FrontListener| (*f, *a) == (front, address);
         if let Some(position) = passed.iter().position(is_wanted) {
-            listeners.push(passed.swap_remove(position));
+            let (_, _, listener) = passed.swap_remove(position);
+            listeners.push((front, local_address(&listener)?, listener));
             continue;
         }
         let bound = bind_when_free(|| Async::<TcpListener>::bind(address)).await;
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -379,6 +379,38 @@
     stop(callers, &cluster, Duration::from_secs(5));
 }
 
+/// Guards against a start that fails with "address in use" because it looked for its predecessor
+/// only once, before that one had noticed the death of another successor.
+#[test]
+fn a_process_started_before_its_predecessor_serves_again_replaces_it() {
+    let folder = Scratch::new("fleet-resuming");
+    let mut cluster = Cluster::start_converged(spec(&folder), 2);
+    let old = cluster.nodes[1].process.as_ref().unwrap();
+    let (old, listen) = (old.number, old.client_address);
+    let yielded = |l: &LogLine| l.process == old && l.text.contains("the successor serves");
+    let dying = cluster.launch(1, "n1", Some(listen));
+    assert!(cluster.history.wait(0, yielded).is_some());
+    // The predecessor can't notice the death before the next process has looked for it.
+    cluster.signal(1, "-STOP");
+    dying.signal("-KILL");
+    drop(dying);
+    let behind = cluster.history.lines().len();
+    let next = cluster.launch(1, "n1", Some(listen));
+    let number = next.number;
+    let waits = |l: &LogLine| l.process == number && l.text.contains("address in use");
+    let waiting = cluster.history.wait(behind, waits);
+    cluster.signal(1, "-CONT");
+    assert!(waiting.is_some(), "{:#?}", cluster.tail(1));
+    assert!(
+        cluster.history.wait(behind, yielded).is_some(),
+        "{:#?}",
+        cluster.tail(1)
+    );
+    let next = cluster.wait_ready(next);
+    cluster.nodes[1].process = Some(next);
+    cluster.wait_converged("the next process is the member");
+}
+
 #[test]
 fn a_node_that_was_given_a_wrong_seed_meets_the_others_after_a_sighup() {
     let folder = Scratch::new("fleet-seeds");
