Request a capture's checkpoint by number, so that one is not taken twice

What was seen: the known failure a_burst_into_discard_mode, once beside load: not exactly one segment file.

Cause: writer and recorder share a flag. The writer finds the queue empty and no segment open, is interrupted, and sets the flag after the recorder has queued the first checkpoint and cleared it; 250 ms later the recorder takes a second one.

Change: the writer requests checkpoint number N, one above those it has received; the recorder ignores a request for one that it has queued.

--- a/crates/capture/src/recorder.rs
+++ b/crates/capture/src/recorder.rs
@@ -10,7 +10,7 @@
 use pipitlever_admission::{Action, Controller, Event, Micros, Settings};
 use rtrb::{Consumer, Producer, RingBuffer};
 use std::borrow::Cow;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::thread::Thread;
 
@@ -45,7 +45,10 @@
 /// The state that recorder and receiver share, beside the queue.
 #[derive(Debug)]
 struct Shared {
-    is_checkpoint_requested: AtomicBool,
+    /// The number of the checkpoint that the writer wants next; the first one is 1. A number and
+    /// not a flag: the writer may decide before the recorder queues that very checkpoint, and
+    /// request it after.
+    requested_checkpoint: AtomicU64,
     /// The checkpoint that `CHECKPOINT_TAG` in the queue stands for.
     checkpoints: ArrayQueue<Box<Checkpoint>>,
     /// Records lost since the last checkpoint, for the end of a run inside a gap.
@@ -82,6 +85,8 @@
     /// The clock of the last record that was written.
     last_clock: Micros,
     steps: u64,
+    /// Checkpoints that were queued.
+    checkpoints: u64,
     /// No record may be written before the next checkpoint.
     is_in_gap: bool,
     lost: LostRecords,
@@ -94,6 +99,8 @@
     queue: Consumer<u8>,
     buffer: Vec<u8>,
     shared: Arc<Shared>,
+    /// Checkpoints that were taken out of the queue.
+    checkpoints: u64,
 }
 
 /// A message in the queue.
@@ -109,7 +116,7 @@
 pub fn record_queue(run_info: RunInfo, queue_bytes: usize) -> (Recorder, RecordReceiver) {
     let (producer, consumer) = RingBuffer::new(queue_bytes);
     let shared = Arc::new(Shared {
-        is_checkpoint_requested: AtomicBool::new(true),
+        requested_checkpoint: AtomicU64::new(1),
         checkpoints: ArrayQueue::new(1),
         lost_records: AtomicU64::new(0),
         writer_thread: OnceLock::new(),
@@ -121,6 +128,7 @@
         buffer: Vec::new(),
         last_clock: 0,
         steps: 0,
+        checkpoints: 0,
         is_in_gap: true,
         lost: LostRecords::default(),
         next_checkpoint_at: Micros::MIN,
@@ -129,6 +137,7 @@
         queue: consumer,
         buffer: Vec::new(),
         shared,
+        checkpoints: 0,
     };
     (recorder, receiver)
 }
@@ -141,7 +150,7 @@
         let is_wanted = if self.lost.records > 0 {
             self.queue.slots() >= self.queue.buffer().capacity() / 2
         } else {
-            self.shared.is_checkpoint_requested.load(Ordering::Relaxed)
+            self.shared.requested_checkpoint.load(Ordering::Relaxed) > self.checkpoints
         };
         is_wanted && now >= self.next_checkpoint_at && !self.shared.checkpoints.is_full()
     }
@@ -162,14 +171,11 @@
         if self.queue.slots() == 0 || self.shared.checkpoints.push(checkpoint).is_err() {
             return;
         }
-        let shared = &self.shared;
-        shared
-            .is_checkpoint_requested
-            .store(false, Ordering::Relaxed);
-        shared.lost_records.store(0, Ordering::Relaxed);
+        self.shared.lost_records.store(0, Ordering::Relaxed);
         self.queue
             .push(CHECKPOINT_TAG)
             .expect("a slot is free, and this is the only producer");
+        self.checkpoints += 1;
         self.last_clock = now;
         self.is_in_gap = false;
         self.lost = LostRecords::default();
@@ -290,10 +296,11 @@
         let _ = self.shared.writer_thread.set(thread);
     }
 
-    /// Requests a checkpoint from the recorder.
+    /// Requests the checkpoint after those received so far. Has no effect if the recorder has
+    /// queued it meanwhile.
     pub fn request_checkpoint(&self) {
-        let requested = &self.shared.is_checkpoint_requested;
-        requested.store(true, Ordering::Relaxed);
+        let requested = &self.shared.requested_checkpoint;
+        requested.store(self.checkpoints + 1, Ordering::Relaxed);
     }
 
     /// Whether the recorder was dropped and the queue is empty.
@@ -318,6 +325,7 @@
         while let Some((&tag, after_tag)) = rest.split_first() {
             if tag == CHECKPOINT_TAG {
                 rest = after_tag;
+                self.checkpoints += 1;
                 if let Some(checkpoint) = self.shared.checkpoints.pop() {
                     handle(QueuedMessage::Checkpoint(checkpoint));
                 }
--- a/crates/capture/tests/common/mod.rs
+++ b/crates/capture/tests/common/mod.rs
@@ -49,7 +49,7 @@
 pub struct CapturedHost {
     pub host: SimulatedHost,
     recorder: Option<Recorder>,
-    receiver: RecordReceiver,
+    pub receiver: RecordReceiver,
     pub writer: CaptureWriter<MemoryDirectory>,
     /// The writer's clock.
     clock: Micros,
--- a/crates/capture/tests/writer.rs
+++ b/crates/capture/tests/writer.rs
@@ -331,6 +331,22 @@
     assert!(thread.wait(Duration::from_secs(20)));
 }
 
+/// Guards against a second segment at the start of a capture: the writer found the queue empty, the
+/// recorder queued the first checkpoint, and only then the writer requested it.
+#[test]
+fn a_request_that_crosses_its_checkpoint_brings_no_second_one() {
+    const A_SECOND: i32 = 1_000_000;
+    let mut captured = CapturedHost::new(0, 3, LARGE_QUEUE, WIDE_LIMITS);
+    captured.receiver.drain(|message| panic!("{message:?}"));
+    take_steps(&mut captured, 1);
+    captured.receiver.request_checkpoint();
+    // Later than the shortest time between two checkpoints.
+    captured.step(A_SECOND, &[]);
+    captured.write(0);
+    captured.step(A_SECOND, &[]);
+    assert_eq!(captured.finish().len(), 1, "segments");
+}
+
 #[test]
 fn a_directory_on_disk_is_created_written_and_read_back() {
     let path = std::env::temp_dir().join(format!(
