Reject requests of sessions that no replica answered for

Beside load a session moved to another worker and came back.

Cause: a node that does not know a session asks its replicas for at most 60 ms. When no reply came it placed the session as if it were new, by the present weights. The replicas' older placement took precedence later: the session came back.

Change: a session is new only if a replica has replied that it does not know it, or this node is a replica. Otherwise the request is rejected as never run. Counter unanswered. With more than 4,096 lookups unknown sessions were placed anew as well; they are rejected, too.

The test now waits until the shares add up to the limit before it renames, which is more than it waited for; its check is the same, and prints all nodes.

--- a/crates/node/src/net/session_affinity/report.rs
+++ b/crates/node/src/net/session_affinity/report.rs
@@ -56,6 +56,7 @@
             ("moved_removed", sum(|counters| counters.removed)),
             ("moved_failed", sum(|counters| counters.failed)),
             ("moved_unreachable", sum(|counters| counters.unreachable)),
+            ("unanswered", sum(|counters| counters.unanswered)),
             ("turned_down", directory.table().rejected),
         ];
         for (name, value) in counters {
@@ -81,6 +82,7 @@
                     "moved_removed": counters.removed,
                     "moved_failed": counters.failed,
                     "moved_unreachable": counters.unreachable,
+                    "unanswered": counters.unanswered,
                 })
             })
             .collect();
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{configuration, packet, Scratch, Worker, PROGRAM};
+use common::{configuration, packet, Scratch, Worker, PATIENCE, PROGRAM};
 use pipitlever_cluster_testing::network_relay::LinkFaults;
 use pipitlever_cluster_testing::process_control::{Cluster, ClusterConfig};
 use serde_json::{json, Value};
@@ -17,6 +17,8 @@
 
 const NODES: usize = 5;
 const PATIENCE_MS: u64 = 1_500;
+/// Runs that a worker may have at once by default, over all nodes.
+const MOST_RUNS: u64 = 1_024;
 /// Cores for all that the clients ask for.
 const CORES: usize = 40;
 
@@ -314,22 +316,37 @@
         .for_each(|(i, d)| d.2 = 0.5 + i as f64);
     site.publish(0, "more desks", &operator("desks", "", &all));
     site.acts(&[0, 1, 2, 3, 4], 1);
-    // A node has one run at each worker until all others know of its share of the new ones. The
-    // rename is to keep what it has by then.
+    // A node has one run at each worker until all others know of its share of the new ones, and
+    // while reports of loads that rise from nothing are on their way. Shares add up to the limit
+    // once no load has changed for as long as a report takes. The rename is to keep them.
+    let runs_at_workers = |c: &Cluster, node: usize| -> Option<Vec<u64>> {
+        let view = c.view(node)?;
+        let workers = view["share"][0]["workers"].as_array()?;
+        workers.iter().map(|w| w["most_runs"].as_u64()).collect()
+    };
+    let shares_add_up = |c: &Cluster| {
+        let of_nodes: Option<Vec<Vec<u64>>> = (0..NODES).map(|i| runs_at_workers(c, i)).collect();
+        let sum_at = |nodes: &[Vec<u64>], worker: usize| -> u64 {
+            nodes.iter().filter_map(|runs| runs.get(worker)).sum()
+        };
+        of_nodes.is_some_and(|nodes| (0..all.len()).all(|w| sum_at(&nodes, w) == MOST_RUNS))
+    };
     let shares_are_known = |c: &Cluster| {
-        let more_than_one = |w: &Value| w["most_runs"].as_u64() > Some(1);
-        let workers = |i: usize| c.view(i).map(|v| v["share"][0]["workers"].clone());
-        let known = |i| workers(i).and_then(|w| Some(w.as_array()?.iter().all(more_than_one)));
-        (0..NODES).all(|i| known(i) == Some(true))
+        let more_than_one = |runs: Vec<u64>| runs.iter().all(|most| *most > 1);
+        (0..NODES).all(|i| runs_at_workers(c, i).is_some_and(more_than_one))
     };
-    site.cluster.wait("all know their shares", shares_are_known);
+    site.cluster.wait("all know their shares", |c| {
+        shares_add_up(c) && shares_are_known(c)
+    });
     site.publish(1, "another name", &operator("counters", "\"desks\"", &all));
     site.acts(&[0, 1, 2, 3, 4], 2);
     // What each node has of the workers goes by the pool's first name, too.
     assert!(
         shares_are_known(&site.cluster),
         "{:?}",
-        site.cluster.view(0)
+        (0..NODES)
+            .map(|i| runs_at_workers(&site.cluster, i))
+            .collect::<Vec<_>>()
     );
     // Links that lose a fifth, double some, and take their time.
     for (from, to) in (0..NODES).flat_map(|a| (0..NODES).map(move |b| (a, b))) {
@@ -403,6 +420,58 @@
     );
 }
 
+/// Guards against sessions that move, and come back, because the nodes that know them took longer
+/// than a lookup to reply: a node that knows nothing of them placed them anew.
+#[test]
+fn a_session_is_not_placed_anew_while_the_nodes_that_know_it_are_silent() {
+    const SESSIONS: usize = 40;
+    const ASKED: usize = NODES - 1;
+    let (mut all, _stands) = desks(0..4, Duration::ZERO);
+    let site = Site::new("sessions-silent", &all, CORES);
+    let fronts: Vec<SocketAddr> = site
+        .fronts
+        .lock()
+        .unwrap()
+        .iter()
+        .flatten()
+        .copied()
+        .collect();
+    let at = |node: usize, session: usize| ask(fronts[node], session);
+    // A node that has just started, or learns of the others' loads, rejects some.
+    let admitted = |node: usize, session: usize| {
+        let start = Instant::now();
+        let answer = std::iter::repeat_with(|| at(node, session))
+            .take_while(|_| start.elapsed() < PATIENCE)
+            .find_map(Result::ok);
+        answer.unwrap_or_else(|| panic!("session {session} is not admitted at node {node}"))
+    };
+    let homes: Vec<String> = (0..SESSIONS)
+        .map(|session| admitted(session % ASKED, session))
+        .collect();
+    // From now on each session would be placed elsewhere than where it is.
+    for desk in &mut all {
+        desk.2 = if desk.0 == "w0" { 100.0 } else { 0.01 };
+    }
+    site.publish(0, "other weights", &operator("desks", "", &all));
+    site.acts(&[0, 1, 2, 3, 4], 1);
+    (0..ASKED).for_each(|node| site.cluster.signal(node, "-STOP"));
+    let answers: Vec<Result<String, String>> =
+        (0..SESSIONS).map(|session| at(ASKED, session)).collect();
+    (0..ASKED).for_each(|node| site.cluster.signal(node, "-CONT"));
+    let refused = answers.iter().filter(|answer| answer.is_err()).count();
+    for (answer, home) in answers.iter().zip(&homes) {
+        match answer {
+            Ok(worker) => assert_eq!(worker, home),
+            Err(why) => assert!(why.contains("503"), "{why}"),
+        }
+    }
+    assert!(refused > 0, "the others were not silent");
+    site.cluster.wait_converged("all go on");
+    for (session, home) in homes.iter().enumerate() {
+        assert_eq!(&admitted(session % NODES, session), home, "{session}");
+    }
+}
+
 /// A process takes over from another one, which has more in hand than it may run: sessions stay,
 /// and none of it waits for word that never comes.
 #[test]
--- a/crates/session-affinity/src/directory/pools.rs
+++ b/crates/session-affinity/src/directory/pools.rs
@@ -61,6 +61,8 @@
     pub failed: u64,
     /// Moves because of [`MoveCause::Unreachable`].
     pub unreachable: u64,
+    /// Requests that were rejected because no replica replied in time.
+    pub unanswered: u64,
 }
 
 impl PlacementCounters {
--- a/crates/session-affinity/src/directory/resolution.rs
+++ b/crates/session-affinity/src/directory/resolution.rs
@@ -17,6 +17,16 @@
 /// Ticket of a lookup without a waiting request, which only verifies a placement.
 const VERIFICATION_TICKET: u32 = 0;
 
+/// What to do with a session that is not in the local table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IfUnknown {
+    /// It is new: place it.
+    Place,
+    /// It may be on a worker that this node has not learned of: reject the request, which can be
+    /// retried. A guess would move the session.
+    Reject,
+}
+
 /// Worker of a request's session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Resolution {
@@ -67,17 +77,25 @@
         if self.lookups.add_waiter(session, request) {
             return Resolution::Pending;
         }
+        if !self.has_other_lookup_nodes(session) {
+            return self.resolve_from_table(now, pool, key, IfUnknown::Place);
+        }
         match self.start_lookup(now, pool, key, request) {
             Some(ticket) => {
                 self.send_lookup(now, session, ticket);
                 Resolution::Pending
             }
-            None => self.resolve_without_lookup(now, pool, key),
+            None => self.resolve_from_table(now, pool, key, IfUnknown::Reject),
         }
     }
 
-    /// Starts a lookup and returns its ticket; `None` if there is no other node to ask or there
-    /// are too many lookups.
+    /// Whether there is another node to ask about a session.
+    fn has_other_lookup_nodes(&self, session: SessionId) -> bool {
+        let ranked = self.replicas.ranked(session, LOOKUP_FANOUT);
+        ranked.into_iter().any(|name| name != self.local_name)
+    }
+
+    /// Starts a lookup and returns its ticket; `None` if there are too many lookups.
     fn start_lookup(
         &mut self,
         now: Micros,
@@ -95,9 +113,6 @@
             .into_iter()
             .filter(|name| *name != self.local_name)
             .collect();
-        if others.is_empty() {
-            return None;
-        }
         let target = LookupTarget {
             pool,
             session: key.session,
@@ -128,16 +143,23 @@
         }
     }
 
-    /// Resolves a session by the local table, or places it.
-    fn resolve_without_lookup(
+    /// Resolves a session by the local table.
+    fn resolve_from_table(
         &mut self,
         now: Micros,
         pool: usize,
         key: DirectoryKey,
+        if_unknown: IfUnknown,
     ) -> Resolution {
-        match self.table.get(now, key.session) {
-            Some(known) => self.apply_placement(now, pool, key.session, known.placement),
-            None => self.create_placement(now, pool, key),
+        if let Some(known) = self.table.get(now, key.session) {
+            return self.apply_placement(now, pool, key.session, known.placement);
+        }
+        match if_unknown {
+            IfUnknown::Place => self.create_placement(now, pool, key),
+            IfUnknown::Reject => {
+                self.pools[pool].counters.unanswered += 1;
+                Resolution::Unavailable
+            }
         }
     }
 
@@ -205,7 +227,14 @@
                     session,
                     initial_worker,
                 };
-                self.resolve_without_lookup(now, pool, key)
+                let is_new = result.is_unknown_to_a_replica
+                    || self.replicas.is_replica(session, &self.local_name);
+                let if_unknown = if is_new {
+                    IfUnknown::Place
+                } else {
+                    IfUnknown::Reject
+                };
+                self.resolve_from_table(now, pool, key, if_unknown)
             }
         };
         let waiting = result.waiting_requests.into_iter();
--- a/crates/session-affinity/src/directory/tests.rs
+++ b/crates/session-affinity/src/directory/tests.rs
@@ -249,3 +249,65 @@
     directory.handle_membership_change(0, bootstrapped_peers(&["n2", "n3"]), true);
     assert!(directory.is_bootstrapped());
 }
+
+/// A directory with four bootstrapped peers, and a session of which it is no replica.
+fn without_replica_of_a_session() -> (SessionDirectory, SessionKey) {
+    let mut directory = directory(&["a", "b"]);
+    directory.handle_membership_change(0, bootstrapped_peers(&["n1", "n2", "n3", "n4"]), true);
+    let pool_id = directory.pools[0].id;
+    let is_elsewhere = |key: &SessionKey| {
+        let session = key.in_pool(pool_id).session;
+        !directory.replicas.is_replica(session, "n0")
+    };
+    let key = (0..).map(SessionKey::Session).find(is_elsewhere);
+    (directory, key.expect("some session is elsewhere"))
+}
+
+/// Guards against a session that is placed anew, on another worker, because its replicas took longer
+/// than a lookup to reply.
+#[test]
+fn a_session_that_no_replica_answered_for_is_not_placed() {
+    let (mut directory, key) = without_replica_of_a_session();
+    assert_eq!(directory.resolve(0, 0, key, 1), Resolution::Pending);
+    directory.handle_wakeup(60_000);
+    let resolved = directory.take_resolutions();
+    assert_eq!(resolved.len(), 1);
+    assert_eq!(resolved[0].resolution, Resolution::Unavailable);
+    assert_eq!(directory.placement(60_000, 0, key), None);
+    assert_eq!(directory.pools[0].counters.unanswered, 1);
+}
+
+#[test]
+fn a_session_that_a_replica_does_not_know_is_placed_when_the_lookup_ends() {
+    let (mut directory, key) = without_replica_of_a_session();
+    assert_eq!(directory.resolve(0, 0, key, 1), Resolution::Pending);
+    let session = key.in_pool(directory.pools[0].id).session;
+    let replica = directory.replicas.ranked(session, 1)[0].to_owned();
+    let ticket = take_messages(&mut directory)
+        .into_iter()
+        .find_map(|(_, message)| match message {
+            Message::LookupRequest { ticket, .. } => Some(ticket),
+            _ => None,
+        })
+        .expect("the replicas are asked");
+    let reply = Message::LookupReply {
+        time: 100,
+        ticket,
+        session,
+        placement: None,
+    };
+    directory.handle_message(0, &replica, &reply);
+    assert!(directory.take_resolutions().is_empty());
+    directory.handle_wakeup(60_000);
+    let resolved = directory.take_resolutions();
+    assert!(
+        matches!(
+            resolved[..],
+            [ResolvedRequest {
+                resolution: Resolution::Worker(_),
+                ..
+            }]
+        ),
+        "{resolved:?}"
+    );
+}
--- a/crates/session-affinity/src/lookup.rs
+++ b/crates/session-affinity/src/lookup.rs
@@ -6,7 +6,8 @@
 use crate::{Micros, SessionId, WorkerId};
 use std::collections::BTreeMap;
 
-/// Maximum number of concurrent lookups. Beyond it sessions are resolved from the local table.
+/// Maximum number of concurrent lookups. Beyond it sessions are resolved from the local table, and
+/// unknown ones are rejected.
 const MAX_LOOKUPS: usize = 4_096;
 /// Interval between retries to nodes that have not replied, in microseconds.
 pub const RETRY_INTERVAL: Micros = 8_000;
@@ -39,6 +40,8 @@
     pending: Vec<String>,
     /// Replicas among the nodes asked.
     replicas: Vec<String>,
+    /// Whether a replica has replied that it does not know the session.
+    is_unknown_to_a_replica: bool,
     /// Placement that takes precedence among the replies.
     best: Option<Placement>,
     deadline: Micros,
@@ -53,8 +56,11 @@
     pub target: LookupTarget,
     /// Requests that wait for it.
     pub waiting_requests: Vec<u64>,
-    /// Placement of the session; `None` if no node knows it.
+    /// Placement of the session; `None` if no node that replied knows it.
     pub placement: Option<Placement>,
+    /// Whether a replica has replied that it does not know the session. Without that, a session
+    /// without a placement may have one that no reply has brought in time.
+    pub is_unknown_to_a_replica: bool,
 }
 
 /// A lookup to send again.
@@ -111,6 +117,7 @@
                 target,
                 pending,
                 replicas,
+                is_unknown_to_a_replica: false,
                 best: None,
                 deadline,
                 retry_at: now + RETRY_INTERVAL,
@@ -146,6 +153,7 @@
             }
         }
         let is_replica = lookup.replicas.iter().any(|name| name == sender);
+        lookup.is_unknown_to_a_replica |= is_replica && placement.is_none();
         if (is_replica && placement.is_some()) || lookup.pending.is_empty() {
             self.complete(ticket)
         } else {
@@ -160,6 +168,7 @@
             target: lookup.target,
             waiting_requests: lookup.waiting_requests,
             placement: lookup.best,
+            is_unknown_to_a_replica: lookup.is_unknown_to_a_replica,
         })
     }
 
