Supervise all tasks and threads: a panic is told, drained and ends the node

Cause: the executor catches a task's panic and passes it to whoever awaits the task. The node's tasks are detached. The writer threads of capture, store and versions ended by themselves.

Change: crates/node/src/supervision spawns all tasks. A panic in an update of the core exits at once, since its state is half changed.

Measured: panics.rs makes each subsystem panic with a request in flight.

--- a/crates/node/src/lifecycle/capture.rs
+++ b/crates/node/src/lifecycle/capture.rs
@@ -3,9 +3,11 @@
 use crate::config::operator::Capture;
 use crate::log::log;
 use crate::net::event_loop::SharedState;
+use crate::supervision::{Subsystem, Supervisor};
 use pipitlever_capture::disk::{start_writer, CaptureDirectory, WriterThread};
 use pipitlever_capture::recorder::{record_queue, RunInfo, DEFAULT_QUEUE_BYTES};
-use pipitlever_capture::writer::{CaptureWriter, Limits};
+use pipitlever_capture::writer::{CaptureWriter, Limits, WriterEvent};
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// How long the end of the process waits for the last records. A disk that hangs costs them, not
@@ -14,6 +16,7 @@
 
 /// The capture as it runs now, if it does.
 pub struct Capturing {
+    supervisor: Rc<Supervisor>,
     node: String,
     seed: u64,
     /// Bytes of the queue to the writer.
@@ -34,8 +37,9 @@
 
 impl Capturing {
     /// Nothing is captured yet.
-    pub fn new(node: &str, seed: u64, memory: usize) -> Capturing {
+    pub fn new(supervisor: Rc<Supervisor>, node: &str, seed: u64, memory: usize) -> Capturing {
         Capturing {
+            supervisor,
             node: node.to_owned(),
             seed,
             queue: queue_bytes(memory),
@@ -69,7 +73,12 @@
         };
         let directory = CaptureDirectory::new(&wanted.folder);
         let writer = CaptureWriter::new(directory, limits, &self.node);
-        match start_writer(writer, receiver, |event| log(&event.to_string())) {
+        let sentinel = self.supervisor.thread_sentinel(Subsystem::Capture);
+        let log_event = move |event: &WriterEvent| {
+            sentinel.panic_point();
+            log(&event.to_string());
+        };
+        match start_writer(writer, receiver, log_event) {
             Ok(thread) => {
                 state.core.set_capture(Some(recorder));
                 self.now = Some((wanted, thread));
@@ -78,6 +87,14 @@
         }
     }
 
+    /// Captures nothing more, as the writer's thread has panicked. The next reload begins anew.
+    pub fn handle_failure(&mut self, state: &SharedState) {
+        if self.now.take().is_some() {
+            state.borrow_mut().core.set_capture(None);
+            log("capture: stopped: its thread has panicked; SIGHUP starts it again");
+        }
+    }
+
     /// Captures nothing more, and gives the writer a moment for the rest.
     pub fn end(&mut self, state: &SharedState) {
         let Some((_, thread)) = self.now.take() else {
--- a/crates/node/src/lifecycle/mod.rs
+++ b/crates/node/src/lifecycle/mod.rs
@@ -11,4 +11,4 @@
 mod startup;
 mod store;
 
-pub use serve::serve;
+pub use serve::{serve, ServeError};
--- a/crates/node/src/lifecycle/serve.rs
+++ b/crates/node/src/lifecycle/serve.rs
@@ -10,30 +10,49 @@
 use crate::log::log;
 use crate::net::config_versions::DecidedVersion;
 use crate::net::hot_restart;
+use crate::supervision::{in_main, Subsystem, Supervisor};
 use async_channel::Receiver;
-use async_executor::LocalExecutor;
 use futures_lite::future;
 use pipitlever_reactor::block_on;
 use std::rc::Rc;
+use thiserror::Error;
+
+/// Why a node ended otherwise than it was told to.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// It could not start, or not take over.
+    #[error("{0}")]
+    Failed(String),
+    /// A subsystem panicked. The panic was logged when it happened.
+    #[error("{0} panicked")]
+    Panicked(Subsystem),
+}
+
+impl From<String> for ServeError {
+    fn from(message: String) -> ServeError {
+        ServeError::Failed(message)
+    }
+}
 
 /// Runs one node until SIGTERM or SIGINT. `read` reads the configuration, with the content of a
 /// config version in place of the node's own if one is given.
 pub fn serve(
     config: Config,
     read: impl Fn(Option<&[u8]>) -> Result<Config, String> + 'static,
-) -> Result<(), String> {
-    let executor = Rc::new(LocalExecutor::new());
+) -> Result<(), ServeError> {
+    let supervisor = Supervisor::new();
     // The node is a task like all others: as the executor's own future it would be polled whenever
     // any task wakes, and would read the signals' sockets each time.
-    let node = executor.spawn(run(executor.clone(), config, read));
-    block_on(executor.run(node))
+    let node = in_main(run(supervisor.clone(), config, read));
+    let node = supervisor.executor().spawn(node);
+    block_on(supervisor.executor().run(node))
 }
 
 async fn run(
-    executor: Rc<LocalExecutor<'static>>,
+    supervisor: Rc<Supervisor>,
     config: Config,
     read: impl Fn(Option<&[u8]>) -> Result<Config, String>,
-) -> Result<(), String> {
+) -> Result<(), ServeError> {
     let (config, stored_version) = crate::config::versions::begin(config, &read)?;
     let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     // Two processes cannot share a store, and a port that the system picks is used by no other one.
@@ -51,12 +70,34 @@
     let sockets = opened?;
     let mut reload = Reload::new(read, &config);
     let store = store::open_configured(&config)?;
-    let mut services = startup::start(executor, config, stored_version, sockets, store)?;
-    event_loop(&signals, &mut services, &mut reload).await?;
-    shutdown::shut_down(&services).await;
+    let mut services = startup::start(supervisor.clone(), config, stored_version, sockets, store)?;
+    let end = event_loop(&supervisor, &signals, &mut services, &mut reload).await?;
+    if let LoopEnd::Failed(subsystem) = end {
+        shutdown::prepare_after_failure(&services, subsystem);
+    }
+    shut_down(&supervisor, &services).await;
     log_counters(&services.state);
     services.capturing.end(&services.state);
-    Ok(())
+    match supervisor.status().failed_subsystem() {
+        Some(subsystem) => Err(ServeError::Panicked(subsystem)),
+        None => Ok(()),
+    }
+}
+
+/// Shuts down, unless the core has panicked: what its state would answer cannot be relied on.
+async fn shut_down(supervisor: &Supervisor, services: &Services) {
+    let status = supervisor.status();
+    let has_core_panicked = || {
+        status.failed_subsystem() == Some(Subsystem::Core)
+            || !services.state.borrow().is_core_consistent()
+    };
+    let broken = async {
+        while !has_core_panicked() {
+            supervisor.next_failure().await;
+        }
+        log("ending: the core panicked in an update, nothing is drained");
+    };
+    future::or(broken, shutdown::shut_down(services)).await;
 }
 
 /// Something that the event loop reacts to.
@@ -64,29 +105,44 @@
     Signal(Signal),
     /// A config version that the fleet has decided is to be applied.
     ApplyVersion(DecidedVersion),
+    /// A task or thread of the subsystem panicked.
+    Panicked(Subsystem),
+}
+
+/// Why the event loop ends.
+enum LoopEnd {
+    /// A signal asked for the shutdown.
+    Signal,
+    /// A subsystem that the process can't go on without panicked.
+    Failed(Subsystem),
 }
 
-/// Handles signals and decided config versions until a signal asks for the shutdown.
+/// Handles signals, decided config versions and failures until the process has to end.
 async fn event_loop<R: Fn(Option<&[u8]>) -> Result<Config, String>>(
+    supervisor: &Supervisor,
     signals: &Signals,
     services: &mut Services,
     reload: &mut Reload<R>,
-) -> Result<(), String> {
+) -> Result<LoopEnd, String> {
     loop {
         let signal = async { Ok(LoopEvent::Signal(signals.next().await)) };
         let failure = async { Err(services.failure.wait().await.to_string()) };
+        let panic = async { Ok(LoopEvent::Panicked(supervisor.next_failure().await)) };
         let version = async {
             Ok(LoopEvent::ApplyVersion(
                 next_version(&services.versions).await,
             ))
         };
-        let event = future::or(future::or(signal, failure), version).await?;
+        let failed = future::or(panic, failure);
+        let event = future::or(failed, future::or(signal, version)).await?;
         let (state, capturing) = (&services.state, &mut services.capturing);
         match event {
             LoopEvent::ApplyVersion(version) => reload.act(state, capturing, version).await,
             LoopEvent::Signal(Signal::LogCounters) => log_counters(state),
             LoopEvent::Signal(Signal::Reload) => reload.reload(state, capturing),
-            LoopEvent::Signal(Signal::Shutdown) => return Ok(()),
+            LoopEvent::Signal(Signal::Shutdown) => return Ok(LoopEnd::Signal),
+            LoopEvent::Panicked(Subsystem::Capture) => capturing.handle_failure(state),
+            LoopEvent::Panicked(subsystem) => return Ok(LoopEnd::Failed(subsystem)),
         }
     }
 }
--- a/crates/node/src/lifecycle/shutdown.rs
+++ b/crates/node/src/lifecycle/shutdown.rs
@@ -5,6 +5,7 @@
 use crate::log::log;
 use crate::net::event_loop::SharedState;
 use crate::net::{after_ms, timeout_at};
+use crate::supervision::Subsystem;
 use pipitlever_reactor::Timer;
 use std::time::Instant;
 
@@ -23,6 +24,16 @@
 /// Time between two checks whether all requests are answered, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 10;
 
+/// Prepares the shutdown of a process in which a subsystem has panicked. The membership driver is
+/// not called any more if it is the one: the other members notice the process's end by their probes.
+pub fn prepare_after_failure(services: &Services, subsystem: Subsystem) {
+    log(&format!("ending: subsystem={subsystem} panicked"));
+    let membership = services.state.borrow().membership.clone();
+    if let Some(membership) = membership.filter(|_| subsystem.drives_membership()) {
+        membership.pause();
+    }
+}
+
 /// Shuts down: as the node's end, or, if another process has taken over, as the end of this process
 /// alone.
 pub async fn shut_down(services: &Services) {
@@ -39,9 +50,20 @@
     if let Some(offer) = &services.offer {
         offer.close();
     }
+    if has_nothing_to_drain(services) {
+        return;
+    }
     drain(services).await;
 }
 
+/// Whether this process has failed before it served, as a successor that has not taken over: the
+/// sooner it ends, the sooner its predecessor serves again.
+fn has_nothing_to_drain(services: &Services) -> bool {
+    let state = services.state.borrow();
+    let has_failed = state.failures.failed_subsystem().is_some();
+    has_failed && !state.is_accepting && state.connections.used() == 0
+}
+
 /// Drains and ends. ControlConnections learn late of the shutdown and send their requests to this node until
 /// then, so requests are served as usual for the grace period.
 async fn drain(services: &Services) {
--- a/crates/node/src/lifecycle/startup.rs
+++ b/crates/node/src/lifecycle/startup.rs
@@ -13,8 +13,8 @@
 };
 use crate::net::membership::MembershipDriver;
 use crate::net::{control, ledger, membership, processor, registry, run_core_timer, workers};
+use crate::supervision::{Subsystem, Supervisor};
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use pipitlever_config_versions::minimum_version::StoredVersion;
 use pipitlever_idempotency_store::record::Salt;
 use std::cell::RefCell;
@@ -46,7 +46,7 @@
 /// Starts all subsystems. Front ends accept at once, or as soon as the process that this one
 /// replaces has handed over.
 pub fn start(
-    executor: Rc<LocalExecutor<'static>>,
+    supervisor: Rc<Supervisor>,
     config: Config,
     stored_version: Option<StoredVersion>,
     sockets: OpenedSockets,
@@ -58,21 +58,33 @@
         membership: membership_sockets,
         control: control_listener,
     } = sockets;
-    let mut capturing = Capturing::new(&config.name, config.seed, config.memory_mb << 20);
+    let mut capturing = Capturing::new(
+        supervisor.clone(),
+        &config.name,
+        config.seed,
+        config.memory_mb << 20,
+    );
     let state = create_state(&config, predecessor.as_ref())?;
+    state.borrow_mut().failures = supervisor.status();
     if let Some(store) = store {
         let max_result = state.borrow().core.max_result_bytes();
-        store.begin(&executor, &state, max_result)?;
+        store.begin(&supervisor, &state, max_result)?;
     }
     // Before the controller's first step, so that the capture begins with it.
     capturing.set(&state, config.capture.clone());
-    start_drivers(&executor, &state, &config);
+    start_drivers(&supervisor, &state, &config);
     let meeting_place = meeting_place(&config, listeners[0].1);
     log_listeners(&config.name, &listeners);
-    let fronts = Fronts::new(executor.clone(), state.clone(), listeners);
+    let fronts = Fronts::new(supervisor.clone(), state.clone(), listeners);
     let offer = meeting_place.map(|place| {
         let name = config.name.clone();
-        SuccessorListener::new(executor.clone(), state.clone(), fronts.clone(), name, place)
+        SuccessorListener::new(
+            supervisor.clone(),
+            state.clone(),
+            fronts.clone(),
+            name,
+            place,
+        )
     });
     let (version_sender, versions) = async_channel::unbounded();
     if config.fleet.as_ref().is_some_and(|f| f.versions.is_some()) {
@@ -81,7 +93,7 @@
     }
     let (name, stop_ms) = (config.name.clone(), config.stop_ms);
     let join = JoinFleet {
-        executor: executor.clone(),
+        supervisor: supervisor.clone(),
         state: state.clone(),
         name: config.name,
         settings: config.fleet.zip(membership_sockets),
@@ -90,7 +102,7 @@
     };
     let failure = FailureSignal::default();
     begin_serving(
-        &executor,
+        &supervisor,
         &state,
         predecessor,
         &failure,
@@ -99,8 +111,8 @@
         join,
     );
     if let Some((address, listener)) = control_listener {
-        let endpoint = control::listen(executor.clone(), state.clone(), listener);
-        executor.spawn(endpoint).detach();
+        let endpoint = control::listen(supervisor.clone(), state.clone(), listener);
+        supervisor.spawn(Subsystem::Control, endpoint).detach();
         log(&format!(
             "serving: name={name} protocol=control address={address}"
         ));
@@ -140,22 +152,26 @@
 }
 
 /// Starts the drivers of the processor, the ledger, the registry and the workers.
-fn start_drivers(executor: &Rc<LocalExecutor<'static>>, state: &SharedState, config: &Config) {
+fn start_drivers(supervisor: &Rc<Supervisor>, state: &SharedState, config: &Config) {
     state.borrow_mut().set_upstreams(config.parties.clone());
-    executor.spawn(run_core_timer(state.clone())).detach();
+    supervisor
+        .spawn(Subsystem::Core, run_core_timer(state.clone()))
+        .detach();
     if config.parties.processor.is_some() {
-        executor.spawn(processor::run(state.clone())).detach();
+        supervisor
+            .spawn(Subsystem::Processor, processor::run(state.clone()))
+            .detach();
     } else {
         // All work goes to workers, and the node is up at once.
         let mut state = state.borrow_mut();
         state.with_core(|core, now| core.start_without_processor(now));
     }
-    let ledger = ledger::run(executor.clone(), state.clone());
-    executor.spawn(ledger).detach();
+    let ledger = ledger::run(supervisor.clone(), state.clone());
+    supervisor.spawn(Subsystem::Ledger, ledger).detach();
     let heartbeats = registry::run(state.clone(), config.name.clone());
-    executor.spawn(heartbeats).detach();
-    let workers = workers::run(executor.clone(), state.clone());
-    executor.spawn(workers).detach();
+    supervisor.spawn(Subsystem::Registry, heartbeats).detach();
+    let workers = workers::run(supervisor.clone(), state.clone());
+    supervisor.spawn(Subsystem::Workers, workers).detach();
 }
 
 /// Where another process of this node finds this one; none with a store, which only one process can
@@ -179,7 +195,7 @@
 /// What it takes to join the fleet. A process joins once it serves: until then the process that it
 /// replaces is the member.
 struct JoinFleet {
-    executor: Rc<LocalExecutor<'static>>,
+    supervisor: Rc<Supervisor>,
     state: SharedState,
     name: String,
     settings: Option<(membership::Settings, membership::Sockets)>,
@@ -194,7 +210,7 @@
             return;
         };
         let started = MembershipDriver::start(membership::StartOptions {
-            executor: self.executor,
+            supervisor: self.supervisor,
             state: self.state.clone(),
             node_name: self.name,
             settings,
@@ -213,7 +229,7 @@
 
 /// Begins to accept, at once or when the predecessor has handed over.
 fn begin_serving(
-    executor: &Rc<LocalExecutor<'static>>,
+    supervisor: &Rc<Supervisor>,
     state: &SharedState,
     predecessor: Option<PredecessorConnection>,
     failure: &FailureSignal,
@@ -244,5 +260,5 @@
             failure.report(error);
         }
     };
-    executor.spawn(take_over).detach();
+    supervisor.spawn(Subsystem::HotRestart, take_over).detach();
 }
--- a/crates/node/src/lifecycle/store.rs
+++ b/crates/node/src/lifecycle/store.rs
@@ -5,7 +5,7 @@
 use crate::log::log;
 use crate::net::event_loop::SharedState;
 use crate::net::idempotency_store;
-use async_executor::LocalExecutor;
+use crate::supervision::{Subsystem, Supervisor};
 use pipitlever_admission::{Class, Micros};
 use pipitlever_core::RunStore;
 use pipitlever_idempotency_store::commit_queue::{CommitQueue, CommitQueueConfig};
@@ -70,7 +70,7 @@
     /// longest window has passed since the start, keyed requests are refused.
     pub fn begin(
         mut self,
-        executor: &Rc<LocalExecutor<'static>>,
+        supervisor: &Rc<Supervisor>,
         state: &SharedState,
         most_result: usize,
     ) -> Result<(), String> {
@@ -87,7 +87,9 @@
         let used = self.log.used_bytes();
         let Salt([first, _]) = Salt::random().map_err(|e| format!("store: {e}"))?;
         let (sender, done) = async_channel::bounded(1);
+        let sentinel = supervisor.thread_sentinel(Subsystem::Store);
         let writer = BatchWriter::start(self.log, move |result| {
+            sentinel.panic_point();
             // The node ends by leaving this thread behind, with nobody to listen.
             let _ = sender.send_blocking(result);
         })
@@ -105,9 +107,8 @@
             }
             state.attach_store(durable, self.found.keys, salt);
         }
-        executor
-            .spawn(idempotency_store::run(state.clone(), writer, done))
-            .detach();
+        let passing = idempotency_store::run(state.clone(), writer, done);
+        supervisor.spawn(Subsystem::Store, passing).detach();
         Ok(())
     }
 }
--- a/crates/node/src/net/config_versions/disk.rs
+++ b/crates/node/src/net/config_versions/disk.rs
@@ -4,6 +4,7 @@
 //! and renamed, and the folder is synced. A crash leaves the old or the new file. A thread writes,
 //! as no request may wait for a disk.
 
+use crate::supervision::ThreadSentinel;
 use async_channel::{Receiver, Sender};
 use pipitlever_config_versions::acceptor::AcceptorState;
 use pipitlever_config_versions::file_format::{decode, encode, ReadError};
@@ -105,7 +106,7 @@
 }
 
 /// Starts the thread that writes files to this folder until the channel closes.
-pub fn start(folder: PathBuf) -> Result<DiskWriter, DiskError> {
+pub fn start(folder: PathBuf, sentinel: ThreadSentinel) -> Result<DiskWriter, DiskError> {
     fs::create_dir_all(&folder).map_err(|source| DiskError::Io {
         path: folder.clone(),
         source,
@@ -114,6 +115,7 @@
     let (completed, results) = async_channel::unbounded();
     let run = move || {
         while let Ok(write) = pending.recv_blocking() {
+            sentinel.panic_point();
             if completed.send_blocking(execute(&folder, write)).is_err() {
                 return;
             }
--- a/crates/node/src/net/config_versions/mod.rs
+++ b/crates/node/src/net/config_versions/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::log::log;
 use crate::net::event_loop::SharedState;
+use crate::supervision::ThreadSentinel;
 use async_channel::{Receiver, Sender};
 use disk::{DiskError, DiskWrite, DiskWriteResult, DiskWriter};
 use pipitlever_config_versions::envelope::Envelope;
@@ -86,6 +87,8 @@
     pub decided: Option<Sender<DecidedVersion>>,
     /// Seed of random times.
     pub seed: u64,
+    /// Reports a panic of the thread that writes to the disk.
+    pub sentinel: ThreadSentinel,
 }
 
 impl ConfigVersionsDriver {
@@ -101,9 +104,10 @@
             stored,
             decided,
             seed,
+            sentinel,
         } = options;
         let folder = settings.folder.clone();
-        let DiskWriter { writes, results } = disk::start(folder.clone())?;
+        let DiskWriter { writes, results } = disk::start(folder.clone(), sentinel)?;
         let is_acceptor = settings
             .rules
             .acceptors
--- a/crates/node/src/net/control/mod.rs
+++ b/crates/node/src/net/control/mod.rs
@@ -5,7 +5,7 @@
 use crate::net::control_connections::ControlHandle;
 use crate::net::event_loop::SharedState;
 use crate::net::{after_ms, graceful_close, timeout_at};
-use async_executor::LocalExecutor;
+use crate::supervision::{Subsystem, Supervisor};
 use futures_lite::future;
 use pipitlever_reactor::{Async, Timer};
 use pipitlever_wire::control::{self, ControlRequest, RequestError, RequestReader};
@@ -22,11 +22,7 @@
 const ACCEPT_RETRY_MS: u64 = 50;
 
 /// Accepts connections for as long as the process runs, during its shutdown too.
-pub async fn listen(
-    executor: Rc<LocalExecutor<'static>>,
-    state: SharedState,
-    listener: Async<TcpListener>,
-) {
+pub async fn listen(supervisor: Rc<Supervisor>, state: SharedState, listener: Async<TcpListener>) {
     loop {
         let reserved = state.borrow_mut().control.reserve(Instant::now());
         if let Err(retry_at) = reserved {
@@ -40,9 +36,8 @@
                 };
                 let _ = stream.get_ref().set_nodelay(true);
                 let handle = state.borrow_mut().control.add(Instant::now());
-                executor
-                    .spawn(drive(state.clone(), stream, handle))
-                    .detach();
+                let driver = drive(state.clone(), stream, handle);
+                supervisor.spawn(Subsystem::Control, driver).detach();
                 // The connection is read before the next one is accepted, so that a flood of silent
                 // connections cannot evict one that has sent its request.
                 future::yield_now().await;
--- a/crates/node/src/net/control/operations.rs
+++ b/crates/node/src/net/control/operations.rs
@@ -89,7 +89,9 @@
     }
 
     fn status(&self) -> TextResponse {
-        if self.is_draining() {
+        if let Some(subsystem) = self.failures.failed_subsystem() {
+            TextResponse::new(false, format!("failed: {subsystem}\n"))
+        } else if self.is_draining() {
             TextResponse::new(false, "draining\n")
         } else if self.core.is_starting() || !self.is_accepting {
             TextResponse::new(false, "starting\n")
@@ -128,6 +130,7 @@
         let _ = writeln!(text, "edge.open_requests:{}|g", self.core.unanswered());
         let _ = writeln!(text, "edge.cfg_accepted:{}|c", files.accepted);
         let _ = writeln!(text, "edge.cfg_invalid:{}|c", files.rejected);
+        let _ = writeln!(text, "edge.panics:{}|c", self.failures.count());
         if let Some(membership) = &self.membership {
             membership::write_metrics(membership, &mut text);
         }
--- a/crates/node/src/net/event_loop/gateway_requests.rs
+++ b/crates/node/src/net/event_loop/gateway_requests.rs
@@ -46,7 +46,9 @@
         let level = self.core.load_level();
         self.connections
             .mark_identified(connection, self.clock.now());
-        let is_healthy = self.core.is_healthy() && !(checks_progress && self.core.is_stalled());
+        let is_healthy = self.core.is_healthy()
+            && self.failures.failed_subsystem().is_none()
+            && !(checks_progress && self.core.is_stalled());
         self.connections.send(connection, |out| {
             jsonrpc::write_health(out, number, is_healthy, level);
         });
--- a/crates/node/src/net/event_loop/mod.rs
+++ b/crates/node/src/net/event_loop/mod.rs
@@ -32,6 +32,7 @@
 use crate::net::processor_connection::ProcessorConnection;
 use crate::net::worker_pools::routes::Uwsgi;
 use crate::net::worker_pools::WorkerPools;
+use crate::supervision::{panic_point, FailureStatus, Subsystem};
 use classes::ClassDefinitions;
 use connection_limits::ConnectionLimits;
 use hot_restart_state::HotRestartState;
@@ -90,6 +91,11 @@
     pub store_work: Notify,
     /// Notified when shutdown or retirement begins.
     pub shutdown_started: Notify,
+    /// The subsystems of this process that have failed.
+    pub failures: FailureStatus,
+    /// Whether an update of the core is in progress. A panic leaves this set, and the core's state
+    /// half changed.
+    is_updating_core: bool,
     shutdown: ShutdownState,
     limits: ConnectionLimits,
     classes: ClassDefinitions,
@@ -151,6 +157,8 @@
             wakeup_changed: Notify::new(),
             store_work: Notify::new(),
             shutdown_started: Notify::new(),
+            failures: FailureStatus::default(),
+            is_updating_core: false,
             shutdown: ShutdownState::default(),
             limits: ConnectionLimits::default(),
             classes,
@@ -166,9 +174,12 @@
     /// Updates the core, executes the effects that follow, and notifies the drivers that have
     /// something to do.
     pub fn with_core(&mut self, update: impl FnOnce(&mut Core, Micros)) {
+        let is_nested = std::mem::replace(&mut self.is_updating_core, true);
         update(&mut self.core, self.clock.now());
+        panic_point(Subsystem::Core);
         debug_assert!(self.core.is_balanced(), "{}", self.core.counters);
         self.execute_effects();
+        self.is_updating_core = is_nested;
         if self.core.has_store() {
             self.store_work.notify();
             let now = self.clock.now();
@@ -186,6 +197,11 @@
         }
     }
 
+    /// Whether the core's state is that of a finished update. After a panic in one it is not.
+    pub fn is_core_consistent(&self) -> bool {
+        !self.is_updating_core
+    }
+
     /// Executes effects until the core has none left. The core's buffer and this one are swapped,
     /// so that neither is allocated anew.
     fn execute_effects(&mut self) {
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -5,7 +5,7 @@
 use crate::net::graceful_close::{self, ConnectionEnd};
 use crate::net::notify::Notify;
 use crate::net::{after_ms, timeout_at};
-use async_executor::LocalExecutor;
+use crate::supervision::{Subsystem, Supervisor};
 use futures_lite::future;
 use pipitlever_reactor::{Async, Timer};
 use pipitlever_wire::jsonrpc::GatewayReader;
@@ -28,7 +28,7 @@
 
 /// Accepts the connections of one listener.
 struct Acceptor {
-    executor: Rc<LocalExecutor<'static>>,
+    supervisor: Rc<Supervisor>,
     state: SharedState,
     front: Front,
     listener: Rc<Async<TcpListener>>,
@@ -94,9 +94,8 @@
         // Answers are small and urgent; a socket without the option still works.
         let _ = stream.get_ref().set_nodelay(true);
         let handle = self.state.borrow_mut().connected(self.front);
-        self.executor
-            .spawn(drive(self.state.clone(), self.front, stream, handle))
-            .detach();
+        let driver = drive(self.state.clone(), self.front, stream, handle);
+        self.supervisor.spawn(Subsystem::Front, driver).detach();
     }
 }
 
@@ -266,7 +265,7 @@
 
 /// The listening sockets of the front ends, whether connections are accepted or not.
 pub struct Fronts {
-    executor: Rc<LocalExecutor<'static>>,
+    supervisor: Rc<Supervisor>,
     state: SharedState,
     sockets: RefCell<Vec<FrontSocket>>,
     /// Stops the acceptors.
@@ -276,7 +275,7 @@
 impl Fronts {
     /// Takes listening sockets and accepts nothing yet.
     pub fn new(
-        executor: Rc<LocalExecutor<'static>>,
+        supervisor: Rc<Supervisor>,
         state: SharedState,
         sockets: Vec<(Front, SocketAddr, Async<TcpListener>)>,
     ) -> Rc<Fronts> {
@@ -288,7 +287,7 @@
                 listener: Rc::new(listener),
             });
         Rc::new(Fronts {
-            executor,
+            supervisor,
             state,
             sockets: RefCell::new(sockets.collect()),
             stops: RefCell::default(),
@@ -302,12 +301,14 @@
             let stop = Notify::new();
             self.stops.borrow_mut().push(stop.clone());
             let acceptor = Acceptor {
-                executor: self.executor.clone(),
+                supervisor: self.supervisor.clone(),
                 state: self.state.clone(),
                 front: socket.front,
                 listener: socket.listener.clone(),
             };
-            self.executor.spawn(acceptor.run(stop)).detach();
+            self.supervisor
+                .spawn(Subsystem::Front, acceptor.run(stop))
+                .detach();
         }
     }
 
--- a/crates/node/src/net/hot_restart/successor_listener.rs
+++ b/crates/node/src/net/hot_restart/successor_listener.rs
@@ -7,7 +7,7 @@
 use crate::net::event_loop::SharedState;
 use crate::net::front::Fronts;
 use crate::net::notify::Notify;
-use async_executor::LocalExecutor;
+use crate::supervision::{Subsystem, Supervisor};
 use futures_lite::future;
 use pipitlever_reactor::{Async, Timer};
 use std::cell::RefCell;
@@ -21,7 +21,7 @@
 
 /// Listens for a successor.
 pub struct SuccessorListener {
-    pub(super) executor: Rc<LocalExecutor<'static>>,
+    pub(super) supervisor: Rc<Supervisor>,
     pub(super) state: SharedState,
     pub(super) fronts: Rc<Fronts>,
     pub(super) node_name: String,
@@ -33,14 +33,14 @@
 impl SuccessorListener {
     /// Creates a listener that is not open yet.
     pub fn new(
-        executor: Rc<LocalExecutor<'static>>,
+        supervisor: Rc<Supervisor>,
         state: SharedState,
         fronts: Rc<Fronts>,
         node_name: String,
         path: PathBuf,
     ) -> Rc<SuccessorListener> {
         Rc::new(SuccessorListener {
-            executor,
+            supervisor,
             state,
             fronts,
             node_name,
@@ -64,8 +64,9 @@
         let stop = Notify::new();
         *self.stop.borrow_mut() = stop.clone();
         let accepting = self.clone().accept_all(listener);
-        self.executor
-            .spawn(future::or(accepting, async move { stop.wait().await }))
+        let accepting = future::or(accepting, async move { stop.wait().await });
+        self.supervisor
+            .spawn(Subsystem::HotRestart, accepting)
             .detach();
     }
 
@@ -97,7 +98,9 @@
             };
             if let Ok(stream) = Async::<UnixStream>::new(stream) {
                 let session = successor_session::run(self.clone(), stream, peer);
-                self.executor.spawn(session).detach();
+                self.supervisor
+                    .spawn(Subsystem::HotRestart, session)
+                    .detach();
             }
         }
     }
--- a/crates/node/src/net/ledger.rs
+++ b/crates/node/src/net/ledger.rs
@@ -4,7 +4,7 @@
 use crate::net::event_loop::SharedState;
 use crate::net::ledger_calls::{IdleConnection, LedgerCall, StartedCall};
 use crate::net::{after_ms, timeout_at};
-use async_executor::LocalExecutor;
+use crate::supervision::{Subsystem, Supervisor};
 use futures_lite::future;
 use pipitlever_admission::Outcome;
 use pipitlever_core::Reference;
@@ -28,7 +28,7 @@
 const RECONNECT_INTERVAL_MS: u64 = 50;
 
 /// Starts a driver for each call, and closes connections that have been idle for too long.
-pub async fn run(executor: Rc<LocalExecutor<'static>>, state: SharedState) {
+pub async fn run(supervisor: Rc<Supervisor>, state: SharedState) {
     let changed = state.borrow().ledger.changed.clone();
     loop {
         let started = state.borrow_mut().ledger.start_next();
@@ -36,7 +36,7 @@
             let state = state.clone();
             // A cancelled driver is dropped, which closes its connection.
             let driver = async move { future::or(cancelled.wait(), drive_call(state, call)).await };
-            executor.spawn(driver).detach();
+            supervisor.spawn(Subsystem::Ledger, driver).detach();
             continue;
         }
         let first_expiry = {
--- a/crates/node/src/net/membership/mod.rs
+++ b/crates/node/src/net/membership/mod.rs
@@ -19,8 +19,9 @@
 use crate::net::notify::Notify;
 use crate::net::session_affinity::{SessionAffinityDriver, SessionLookup};
 use crate::net::subsetting::{PartitionPolicy, SubsettingDriver};
+use crate::supervision::{Subsystem, Supervisor};
 use async_channel::{Receiver, Sender};
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use pipitlever_membership::event::EventBatch;
 use pipitlever_membership::message::DecodeError;
 use pipitlever_membership::record::ServiceState;
@@ -76,7 +77,7 @@
     service_state: RefCell<ServiceStateFilter>,
     clock: Clock,
     state: SharedState,
-    executor: Rc<LocalExecutor<'static>>,
+    supervisor: Rc<Supervisor>,
     udp: Async<UdpSocket>,
     tcp: Async<TcpListener>,
     bind: SocketAddr,
@@ -100,11 +101,15 @@
 
 impl MembershipDriver {
     fn start_tasks(self: &Rc<MembershipDriver>) {
+        let fleet = Subsystem::Fleet;
         let tasks = [
-            self.executor.spawn(tasks::read_datagrams(self.clone())),
-            self.executor.spawn(tasks::run_timer(self.clone())),
-            self.executor.spawn(tasks::accept_syncs(self.clone())),
-            self.executor.spawn(tasks::initiate_syncs(self.clone())),
+            self.supervisor
+                .spawn(fleet, tasks::read_datagrams(self.clone())),
+            self.supervisor.spawn(fleet, tasks::run_timer(self.clone())),
+            self.supervisor
+                .spawn(fleet, tasks::accept_syncs(self.clone())),
+            self.supervisor
+                .spawn(fleet, tasks::initiate_syncs(self.clone())),
         ];
         *self.tasks.borrow_mut() = tasks.into();
     }
--- a/crates/node/src/net/membership/start.rs
+++ b/crates/node/src/net/membership/start.rs
@@ -8,8 +8,8 @@
 use crate::net::notify::Notify;
 use crate::net::session_affinity::SessionAffinityDriver;
 use crate::net::subsetting::SubsettingDriver;
+use crate::supervision::{Subsystem, Supervisor};
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use pipitlever_config_versions::minimum_version::StoredVersion;
 use pipitlever_membership::local_member::{LocalMember, ResumeState};
 use pipitlever_membership::service_state::ServiceStateFilter;
@@ -36,7 +36,7 @@
 /// What a driver starts with.
 pub struct StartOptions {
     /// Runs its tasks.
-    pub executor: Rc<LocalExecutor<'static>>,
+    pub supervisor: Rc<Supervisor>,
     /// The node's state.
     pub state: SharedState,
     /// The node's name.
@@ -91,7 +91,7 @@
     /// Starts the driver and its tasks.
     pub fn start(options: StartOptions) -> Result<Rc<MembershipDriver>, StartError> {
         let StartOptions {
-            executor,
+            supervisor,
             state,
             node_name,
             settings,
@@ -119,6 +119,7 @@
                     stored: stored_version,
                     decided,
                     seed: random_seed(now),
+                    sentinel: supervisor.thread_sentinel(Subsystem::Versions),
                 };
                 let started = ConfigVersionsDriver::start(state.clone(), options, now)?;
                 if let Some(number) = inherited_version {
@@ -138,17 +139,20 @@
             fleet.set_piggyback(Vec::new());
         }
         let driver =
-            MembershipDriver::new(executor, state, fleet, applications, &settings, sockets)?;
+            MembershipDriver::new(supervisor, state, fleet, applications, &settings, sockets)?;
         driver.start_tasks();
         if let Some(results) = write_results {
             let handling = handle_write_results(driver.clone(), results);
-            driver.executor.spawn(handling).detach();
+            driver
+                .supervisor
+                .spawn(Subsystem::Versions, handling)
+                .detach();
         }
         Ok(driver)
     }
 
     fn new(
-        executor: Rc<LocalExecutor<'static>>,
+        supervisor: Rc<Supervisor>,
         state: SharedState,
         fleet: Membership,
         applications: Applications,
@@ -166,7 +170,7 @@
             service_state: RefCell::new(ServiceStateFilter::new(now)),
             clock,
             state,
-            executor,
+            supervisor,
             udp: Async::<UdpSocket>::new(sockets.udp)?,
             tcp: Async::<TcpListener>::new(sockets.tcp)?,
             bind: settings.bind,
--- a/crates/node/src/net/membership/tasks.rs
+++ b/crates/node/src/net/membership/tasks.rs
@@ -4,6 +4,7 @@
 use super::settings::STATE_CHECK_MS;
 use super::{MembershipDriver, MAX_SYNCS};
 use crate::net::{after_ms, timeout_at};
+use crate::supervision::Subsystem;
 use futures_lite::future;
 use pipitlever_membership::sync::SyncSession;
 use pipitlever_reactor::{Async, Timer};
@@ -73,7 +74,7 @@
                     sync(&responder, "a connection", stream, session).await;
                     responder.open_syncs.set(responder.open_syncs.get() - 1);
                 };
-                driver.executor.spawn(respond).detach();
+                driver.supervisor.spawn(Subsystem::Fleet, respond).detach();
             }
             // Out of descriptors.
             Err(_) => {
--- a/crates/node/src/net/workers/mod.rs
+++ b/crates/node/src/net/workers/mod.rs
@@ -5,7 +5,7 @@
 use crate::net::event_loop::SharedState;
 use crate::net::timeout_at;
 use crate::net::worker_pools::{AssignedRun, AttemptedWorker, FailedAttempt, WorkerRun};
-use async_executor::LocalExecutor;
+use crate::supervision::{Subsystem, Supervisor};
 use pipitlever_admission::Micros;
 use pipitlever_capture::record::digest_bytes;
 use pipitlever_core::RunOutcome;
@@ -25,12 +25,15 @@
 const IDEMPOTENCY_KEY: &str = "HTTP_IDEMPOTENCY_KEY";
 
 /// Spawns a driver for each queued run. The admission controller limits their number.
-pub async fn run(executor: Rc<LocalExecutor<'static>>, state: SharedState) {
+pub async fn run(supervisor: Rc<Supervisor>, state: SharedState) {
     let run_queued = state.borrow().pools.run_queued.clone();
     loop {
         let next = state.borrow_mut().pools.next_run();
         match next {
-            Some(run) => executor.spawn(drive(state.clone(), run)).detach(),
+            Some(run) => {
+                let driver = drive(state.clone(), run);
+                supervisor.spawn(Subsystem::Workers, driver).detach();
+            }
             None => run_queued.wait().await,
         }
     }
--- /dev/null
+++ b/crates/node/src/supervision/panic_hook.rs
@@ -0,0 +1,56 @@
+//! Logs a panic in one line, with the subsystem that it is in.
+//!
+//! No backtrace is written: resolving one takes up the event loop for a second.
+
+use super::Subsystem;
+use crate::log::log;
+use std::cell::Cell;
+use std::panic::{set_hook, PanicHookInfo};
+
+/// The most characters of a panic's message that are logged.
+const MAX_MESSAGE_CHARS: usize = 300;
+
+thread_local! {
+    static PRESENT: Cell<Subsystem> = const { Cell::new(Subsystem::Main) };
+}
+
+/// Sets the subsystem that the event loop works for until the next call.
+pub fn enter(subsystem: Subsystem) {
+    PRESENT.set(subsystem);
+}
+
+/// Replaces the standard library's hook.
+pub fn install() {
+    set_hook(Box::new(|info| {
+        log(&format!(
+            "panic: subsystem={} at={} message={:?}",
+            subsystem_name(),
+            location(info),
+            message(info)
+        ));
+    }));
+}
+
+/// The present subsystem of the event loop, or the one that this thread is named after.
+fn subsystem_name() -> String {
+    let thread = std::thread::current();
+    match thread.name() {
+        Some("main") | None => PRESENT.get().to_string(),
+        Some(name) => name.to_owned(),
+    }
+}
+
+fn location(info: &PanicHookInfo) -> String {
+    info.location()
+        .map_or_else(|| "unknown".into(), ToString::to_string)
+}
+
+fn message(info: &PanicHookInfo) -> String {
+    let payload = info.payload();
+    let text = payload
+        .downcast_ref::<&str>()
+        .copied()
+        .or_else(|| payload.downcast_ref::<String>().map(String::as_str))
+        .unwrap_or("no message");
+    text.chars().take(MAX_MESSAGE_CHARS).collect()
+}
--- /dev/null
+++ b/crates/node/src/supervision/panic_point.rs
@@ -0,0 +1,26 @@
+//! Places at which tests make a subsystem panic.
+
+use super::Subsystem;
+
+/// Panics once if the environment variable `PIPITLEVER_PANIC` is `SUBSYSTEM:FILE` and the file
+/// exists, which is removed. Does nothing without the feature `points`.
+#[cfg(feature = "points")]
+pub fn panic_point(subsystem: Subsystem) {
+    use std::sync::OnceLock;
+
+    static WANTED: OnceLock<Option<(String, String)>> = OnceLock::new();
+    let wanted = WANTED.get_or_init(|| {
+        let variable = std::env::var("PIPITLEVER_PANIC").ok()?;
+        let (name, file) = variable.split_once(':')?;
+        Some((name.to_owned(), file.to_owned()))
+    });
+    let Some((name, file)) = wanted else { return };
+    if name == subsystem.name() && std::fs::remove_file(file).is_ok() {
+        panic!("a test asked for this");
+    }
+}
+
+/// Does nothing; the feature `points` is off.
+#[cfg(not(feature = "points"))]
+#[inline]
+pub fn panic_point(_subsystem: Subsystem) {}
