Print the new counters only once they have counted

Change: edge.panics and edge.sessions.unanswered are printed from the first one on; the JSON of GET /fleet is as it was.

--- a/crates/node/src/net/control/operations.rs
+++ b/crates/node/src/net/control/operations.rs
@@ -130,7 +130,10 @@
         let _ = writeln!(text, "edge.open_requests:{}|g", self.core.unanswered());
         let _ = writeln!(text, "edge.cfg_accepted:{}|c", files.accepted);
         let _ = writeln!(text, "edge.cfg_invalid:{}|c", files.rejected);
-        let _ = writeln!(text, "edge.panics:{}|c", self.failures.count());
+        // A node without one has the metrics that it always had.
+        if self.failures.count() > 0 {
+            let _ = writeln!(text, "edge.panics:{}|c", self.failures.count());
+        }
         if let Some(membership) = &self.membership {
             membership::write_metrics(membership, &mut text);
         }
--- a/crates/node/src/net/session_affinity/report.rs
+++ b/crates/node/src/net/session_affinity/report.rs
@@ -56,12 +56,16 @@
             ("moved_removed", sum(|counters| counters.removed)),
             ("moved_failed", sum(|counters| counters.failed)),
             ("moved_unreachable", sum(|counters| counters.unreachable)),
-            ("unanswered", sum(|counters| counters.unanswered)),
             ("turned_down", directory.table().rejected),
         ];
         for (name, value) in counters {
             let _ = writeln!(text, "edge.sessions.{name}:{value}|c");
         }
+        // A node that has rejected none has the metrics that it always had.
+        let unanswered = sum(|counters| counters.unanswered);
+        if unanswered > 0 {
+            let _ = writeln!(text, "edge.sessions.unanswered:{unanswered}|c");
+        }
         let stored = directory.table().len();
         let _ = writeln!(text, "edge.sessions.remembered:{stored}|g");
     }
@@ -82,7 +86,6 @@
                     "moved_removed": counters.removed,
                     "moved_failed": counters.failed,
                     "moved_unreachable": counters.unreachable,
-                    "unanswered": counters.unanswered,
                 })
             })
             .collect();
