Reject more than eight shared pools, and ignore positions beyond them

What was seen (open fault, docs/ROADMAP.md): with ten pools that have share = true the ejection of a worker of the last one panicked ("the len is 8 but the index is 9"); pools 9 and 10 had one run a worker, unsaid.

Cause: set_pools of crates/subsetting keeps MAX_POOLS, as a load report has no space for more, and set_ejected indexes by the position among all.

Change: a ninth shared pool is an error with its line, at the start and at SIGHUP. set_ejected and probe_turn ignore positions beyond this node's pools and workers. Found on the way: recovered workers, known by position, outlasted a change of the pools; set_pools forgets them.

Measured: both new tests of the package fail before, one with the panic above; the configuration's cases are new.

--- a/crates/node/src/config/operator/pools.rs
+++ b/crates/node/src/config/operator/pools.rs
@@ -7,6 +7,7 @@
 use pipitlever_load_balancing::pool::{Member, MemberMode};
 use pipitlever_membership::record::MAX_NAME_BYTES;
 use pipitlever_session_affinity::table::MAX_IDLE_SECONDS;
+use pipitlever_subsetting::load_report::MAX_POOLS;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use toml::Spanned;
@@ -73,15 +74,39 @@
 /// without a pool.
 pub fn pools(text: &str, sections: Vec<PoolSection>) -> Result<Vec<PoolSettings>, FileError> {
     let names: Vec<String> = sections.iter().map(|s| s.name.get_ref().clone()).collect();
+    let offsets: Vec<usize> = sections.iter().map(|s| s.name.span().start).collect();
     let read = |section: PoolSection| section.read(text, &names);
     let pools = sections
         .into_iter()
         .map(read)
         .collect::<Result<Vec<_>, _>>()?;
     check_fallbacks(&pools)?;
+    check_shared_count(text, &pools, &offsets)?;
     Ok(pools)
 }
 
+/// The nodes of a fleet can divide only so many pools: a node's load report has no space for more.
+fn check_shared_count(
+    text: &str,
+    pools: &[PoolSettings],
+    offsets: &[usize],
+) -> Result<(), FileError> {
+    let mut shared = pools
+        .iter()
+        .zip(offsets)
+        .filter(|(p, _)| p.shared.is_some());
+    match shared.nth(MAX_POOLS) {
+        Some((pool, offset)) => {
+            let message = format!(
+                "pool {}: share = true is possible for {MAX_POOLS} pools at most",
+                pool.name
+            );
+            Err(FileError::at(text, *offset, message))
+        }
+        None => Ok(()),
+    }
+}
+
 impl PoolSection {
     fn read(self, text: &str, names: &[String]) -> Result<PoolSettings, FileError> {
         let (name, offset) = (self.name.get_ref().clone(), self.name.span().start);
--- a/crates/node/src/config/operator/tests.rs
+++ b/crates/node/src/config/operator/tests.rs
@@ -21,6 +21,11 @@
         let member = "[[pool.member]]\naddress = \"127.0.0.1:1\"\n";
         format!("[[pool]]\nname = \"{name}\"\n{more}{member}")
     };
+    let shared_pools = |count: usize| {
+        (0..count)
+            .map(|i| pool(&format!("p{i}"), "share = true\n"))
+            .collect::<String>()
+    };
     let affinity = |more: &str| {
         pool("a", "was = [\"old\"]\n") + &format!("[pool.affinity]\nsession = \"HTTP_X\"\n{more}")
     };
@@ -100,6 +105,12 @@
             "pool a: share = true is among the nodes of a [fleet]",
         ),
         (pool("a", "share = true\nsubset = 4\n") + fleet, ""),
+        (shared_pools(8) + fleet, ""),
+        // The ninth had no share, and an ejection in it made the node panic.
+        (
+            shared_pools(9) + fleet,
+            "line 42: pool p8: share = true is possible for 8 pools at most",
+        ),
         (
             pool("a", "share = true\nsubset = 0\n") + fleet,
             "line 4: subset = 0: it lies from 1 to 1000",
--- a/crates/subsetting/src/node/ejections.rs
+++ b/crates/subsetting/src/node/ejections.rs
@@ -24,9 +24,11 @@
 }
 
 impl Ejections {
-    /// Forgets the workers that this node has ejected.
+    /// Forgets the workers that this node has ejected, and those that have recovered: positions
+    /// may be those of other workers from now on.
     pub(super) fn clear_own(&mut self) {
         self.own.clear();
+        self.recovered.clear();
     }
 
     /// Sets the workers of a pool that this node has ejected. Returns whether they have changed.
--- a/crates/subsetting/src/node/mod.rs
+++ b/crates/subsetting/src/node/mod.rs
@@ -92,7 +92,7 @@
     }
 
     /// Replaces the pools after a change of the configuration. Pools and workers that remain keep
-    /// their state.
+    /// their state. Pools beyond [`MAX_POOLS`] are not divided: their workers have no share.
     ///
     /// Ejections are cleared, as positions may have changed: the caller sets them again by
     /// [`Node::set_ejected`].
@@ -233,12 +233,17 @@
     }
 
     /// Sets the workers of a pool that this node has ejected.
+    /// Positions beyond the pools and workers of this node are ignored.
     pub fn set_ejected(&mut self, pool: usize, workers: &[usize]) {
+        let Some(state) = self.pools.get(pool) else {
+            return;
+        };
         let ejected = workers
             .iter()
+            .filter(|&&worker| worker < state.pool.workers.len())
             .map(|&worker| EjectedWorker {
                 worker,
-                id: self.pools[pool].worker_id(worker),
+                id: state.worker_id(worker),
             })
             .collect();
         if !self.ejections.set_own(pool, ejected) {
@@ -255,16 +260,18 @@
 
     /// Returns whose turn it is to probe a worker that this node has ejected.
     pub fn probe_turn(&self, pool: usize, worker: usize) -> ProbeTurn {
-        if self.report.ejected.is_empty() || pool >= self.pools.len() {
+        let state = self.pools.get(pool);
+        let Some((state, name)) = state.and_then(|state| {
+            let worker = state.pool.workers.get(worker)?;
+            Some((state, &worker.name))
+        }) else {
+            return ProbeTurn::Own;
+        };
+        if self.report.ejected.is_empty() {
             return ProbeTurn::Own;
         }
-        let state = &self.pools[pool];
         let others = self.ejections.others(state.worker_id(worker));
-        probe_turn::probe_turn(
-            &self.name,
-            &state.pool.workers[worker].name,
-            others.iter().map(String::as_str),
-        )
+        probe_turn::probe_turn(&self.name, name, others.iter().map(String::as_str))
     }
 
     /// Takes the workers that another node has found to have recovered since the last call.
--- a/crates/subsetting/tests/node.rs
+++ b/crates/subsetting/tests/node.rs
@@ -212,3 +212,41 @@
         (30, 60)
     );
 }
+
+/// Guards against a panic of the membership's task: pools beyond the maximum are dropped here, and
+/// the caller's positions count all of them.
+#[test]
+fn ejections_beyond_the_pools_and_workers_of_a_node_are_ignored() {
+    let named = |i: usize| Pool {
+        name: format!("p{i}"),
+        ..pool(60)
+    };
+    let mut node = Node::new("a", TIMING, (0..10).map(named).collect(), 0);
+    node.update_members(0, members(&["a", "b"]), false);
+    for (pool, worker) in [(9, 0), (8, 2), (0, 3), (usize::MAX, 0)] {
+        node.set_ejected(pool, &[worker]);
+        assert_eq!(node.probe_turn(pool, worker), ProbeTurn::Own);
+        assert!(node.load_report().ejected.is_empty(), "{pool} {worker}");
+        assert!(node.worker_shares(0, 9).is_empty());
+    }
+    node.set_ejected(7, &[2]);
+    assert_eq!(node.load_report().ejected, [short_id(&["p7", "w2"])]);
+}
+
+#[test]
+fn a_recovery_does_not_outlast_a_change_of_the_pools() {
+    let mut node = start("a", 60);
+    node.update_members(0, members(&["a", "b"]), false);
+    node.set_ejected(0, &[2]);
+    let ejected = LoadReport {
+        ejected: vec![short_id(&["p", "w2"])],
+        ..members(&["b"])[0].report.clone().unwrap()
+    };
+    let view = vec![member("a"), member_with_report("b", ejected)];
+    node.update_members(1, view, false);
+    node.update_members(2, members(&["a", "b"]), false);
+    let mut smaller = pool(60);
+    smaller.workers.truncate(1);
+    node.set_pools(3, vec![smaller]);
+    assert_eq!(node.take_recovered(), []);
+}
