Leave the meeting place to the predecessor when a successor is told to leave

What was seen: found by reading. After SIGTERM to a successor that has not taken over, every later replacement of the node ends after 5 s with "cannot listen on ADDRESS: Address already in use".

Cause: close() of the listener removes the socket at the meeting place, also in a process that has never opened it; it is the predecessor's.

Change: only a process that has opened it removes it. A successor that has never served ends at once, as it has nothing to drain.

--- a/crates/node/src/lifecycle/shutdown.rs
+++ b/crates/node/src/lifecycle/shutdown.rs
@@ -50,18 +50,17 @@
     if let Some(offer) = &services.offer {
         offer.close();
     }
-    if has_nothing_to_drain(services) {
+    if has_never_served(services) {
         return;
     }
     drain(services).await;
 }
 
-/// Whether this process has failed before it served, as a successor that has not taken over: the
-/// sooner it ends, the sooner its predecessor serves again.
-fn has_nothing_to_drain(services: &Services) -> bool {
+/// Whether this process is a successor that has not taken over. The sooner it ends, the sooner its
+/// predecessor knows.
+fn has_never_served(services: &Services) -> bool {
     let state = services.state.borrow();
-    let has_failed = state.failures.failed_subsystem().is_some();
-    has_failed && !state.is_accepting && state.connections.used() == 0
+    !state.is_accepting && state.connections.used() == 0
 }
 
 /// Drains and ends. ControlConnections learn late of the shutdown and send their requests to this node until
--- a/crates/node/src/net/hot_restart/successor_listener.rs
+++ b/crates/node/src/net/hot_restart/successor_listener.rs
@@ -10,7 +10,7 @@
 use crate::supervision::{Subsystem, Supervisor};
 use futures_lite::future;
 use pipitlever_reactor::{Async, Timer};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
@@ -26,6 +26,8 @@
     pub(super) fronts: Rc<Fronts>,
     pub(super) node_name: String,
     path: PathBuf,
+    /// Whether the socket at the path is this process's.
+    is_open: Cell<bool>,
     /// Stops the task that accepts connections.
     stop: RefCell<Notify>,
 }
@@ -45,6 +47,7 @@
             fronts,
             node_name,
             path,
+            is_open: Cell::new(false),
             stop: RefCell::default(),
         })
     }
@@ -61,6 +64,7 @@
                 ));
             }
         };
+        self.is_open.set(true);
         let stop = Notify::new();
         *self.stop.borrow_mut() = stop.clone();
         let accepting = self.clone().accept_all(listener);
@@ -107,13 +111,17 @@
 
     /// Stops to accept. The socket's path belongs to the successor by now.
     pub(super) fn stop(&self) {
+        self.is_open.set(false);
         self.stop.borrow().notify();
     }
 
     /// Stops to accept and removes the socket: a process that starts from then on has no
-    /// predecessor.
+    /// predecessor. Does nothing in a process that has not opened it, whose predecessor listens
+    /// there.
     pub fn close(&self) {
-        self.stop();
-        let _ = std::fs::remove_file(&self.path);
+        if self.is_open.get() {
+            self.stop();
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -169,6 +169,26 @@
     assert_eq!(door.call("GET /status").0, 200);
 }
 
+/// Guards against a node that can't be replaced any more, because a successor that was told to leave
+/// before it served took the predecessor's meeting place away.
+#[test]
+fn a_successor_that_is_told_to_leave_before_it_serves_changes_nothing() {
+    let mut place = Place::new("told-to-leave");
+    let (old, _before, _) = place.first();
+    old.ready();
+    let (mut new, ..) = place.start();
+    old.line("hot restart: a successor connected");
+    new.signal("-TERM");
+    assert_eq!(new.wait().code(), Some(0));
+    old.line("hot restart: aborted, this process goes on serving");
+    let (third, mut after, _) = place.next();
+    let mut gateway = third.ready();
+    gateway.send("rota-view", work(9000, None, b"view"));
+    let (words, _) = after.command();
+    after.complete(&words[1], "fine", b"viewed");
+    assert_eq!(served(&gateway.receive()), base64(b"viewed"));
+}
+
 #[test]
 fn after_its_successor_died_the_old_process_serves_but_runs_no_key_that_may_have_run() {
     let mut place = Place::new("after-yes");
