Add a soak: signals in series, replacements, kills and crowds by seed

Change: crates/node/tests/soak.rs on the cluster that is there: three nodes, six clients that don't heed goaway, eight of twelve kinds of steps a seed. After each step one process a node lives, serves and agrees on the view, nothing has panicked, no version went back; in the end no request ran twice or was rejected after a run, all that ran under a process that left by SIGTERM was answered, each answer came by the deadline and its slack, tables are empty, descriptors are back, addresses are free.

Not in it yet: uwsgi clients, sessions, a stalled ledger, a silent endpoint list.

--- a/crates/cluster-testing/src/process_control/mod.rs
+++ b/crates/cluster-testing/src/process_control/mod.rs
@@ -307,8 +307,13 @@
 
     /// Starts a client of the process that serves a node's clients at the time.
     pub fn start_client(&self, node: usize) -> Client {
+        self.start_client_as(node, node)
+    }
+
+    /// Starts a client with a number of its own, as [`Cluster::start_client`] does.
+    pub fn start_client_as(&self, number: usize, node: usize) -> Client {
         let client_address = self.nodes[node].client_address.clone();
-        Client::start(node, move || {
+        Client::start(number, move || {
             *client_address.lock().expect("no holder panics")
         })
     }
--- a/crates/cluster-testing/src/process_control/process.rs
+++ b/crates/cluster-testing/src/process_control/process.rs
@@ -13,6 +13,10 @@
             .status();
         assert!(status.is_ok_and(|status| status.success()), "kill {signal}");
     }
+
+    fn wait(&mut self) -> ExitStatus {
+        self.0.wait().expect("the process is a child")
+    }
 }
 
 impl Drop for KillOnDrop {
@@ -37,6 +41,11 @@
     pub fn signal(&self, signal: &str) {
         self.child.signal(signal);
     }
+
+    /// Waits until the process ends.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait()
+    }
 }
 
 /// A process that is ready.
@@ -58,7 +67,12 @@
 
     /// Waits until the process ends.
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.0.wait().expect("the process is a child")
+        self.child.wait()
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.0.try_wait(), Ok(Some(_)))
     }
 
     /// The process's id.
--- a/crates/cluster-testing/src/stand_ins/client.rs
+++ b/crates/cluster-testing/src/stand_ins/client.rs
@@ -38,6 +38,8 @@
     pub body: Vec<u8>,
     /// The outcome.
     pub outcome: RequestOutcome,
+    /// When the response arrived, or the connection was found to have ended.
+    pub ended_at: Instant,
 }
 
 /// What a client has sent and received.
@@ -127,7 +129,11 @@
                 .and_then(|()| read_outcome(&mut reader, id, &body))
                 .unwrap_or(RequestOutcome::ConnectionLost);
             self.log.longest_latency = self.log.longest_latency.max(start.elapsed());
-            self.log.requests.push(SentRequest { body, outcome });
+            self.log.requests.push(SentRequest {
+                body,
+                outcome,
+                ended_at: Instant::now(),
+            });
             if outcome == RequestOutcome::ConnectionLost {
                 return None;
             }
--- a/crates/cluster-testing/src/stand_ins/mod.rs
+++ b/crates/cluster-testing/src/stand_ins/mod.rs
@@ -5,7 +5,7 @@
 mod processor;
 mod verification;
 
-pub use client::{Client, ClientLog, RequestOutcome};
+pub use client::{Client, ClientLog, RequestOutcome, SentRequest};
 pub use processor::Processor;
 pub use verification::{verify, OutcomeCounts, Violation};
 
--- /dev/null
+++ b/crates/node/tests/soak.rs
@@ -0,0 +1,429 @@
+//! A soak: three nodes under clients that keep using every connection until its process is gone,
+//! through a schedule of signals, replacements, kills, crowds, publications and cuts that one seed
+//! draws. The rules of the pages hold at each step.
+//!
+//! The long form, with one line for each seed:
+//! `SOAK_SEEDS="1 50" cargo test -p pipitlever-node --test soak -- --ignored --nocapture`
+
+mod common;
+
+use common::{configuration, packet, Scratch, PROGRAM};
+use fastrand::Rng;
+use pipitlever_cluster_testing::network_relay::LinkFaults;
+use pipitlever_cluster_testing::process_control::{call_control, Cluster, ClusterConfig, LogLine};
+use pipitlever_cluster_testing::stand_ins::{
+    verify, Client, ClientLog, Processor, RequestOutcome, SentRequest,
+};
+use serde_json::json;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const NODES: usize = 3;
+const CLIENTS_PER_NODE: usize = 2;
+const STEPS: usize = 8;
+/// From SIGTERM to the kill (`stop_ms` of the platform configuration). The process ends before.
+const STOP: Duration = Duration::from_millis(2_000);
+/// Clients wait 4 s, and an answer may be late by `answerSlack`, 0.1 s (DESIGN, the protocol page).
+const DEADLINE: Duration = Duration::from_millis(4_100);
+/// A killed process's connections end at once; a client notices when it next reads.
+const KILL_NOTICED: Duration = Duration::from_millis(500);
+/// Connections of a crowd, each with a request.
+const CROWD: usize = 200;
+/// Descriptors that come and go with the membership's syncs (`MAX_SYNCS` of the driver), and the
+/// connection to the processor.
+const CHANGING_DESCRIPTORS: usize = 9;
+
+/// One step of the schedule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Two reloads, the second one within the first.
+    TwoReloads,
+    /// SIGTERM right after SIGHUP, and a new start.
+    ReloadAndLeave,
+    /// SIGTERM twice, and a new start.
+    LeaveTwice,
+    /// A replacement, with the predecessor's SIGTERM as soon as it is allowed.
+    Replace,
+    /// A replacement of a process that has just taken over.
+    ReplaceTwice,
+    /// A successor that is told to leave, at any moment.
+    SuccessorLeaves,
+    /// A successor that is killed, at any moment.
+    SuccessorDies,
+    /// A predecessor that is told to leave while its successor starts, and a new start.
+    PredecessorLeaves,
+    /// A kill without notice, and a new start.
+    Kill,
+    /// A burst of connections and requests.
+    Crowd,
+    /// A publication of a config version.
+    Publish,
+    /// Cut and slow links between the nodes.
+    Cuts,
+}
+
+const ALL_STEPS: [Step; 12] = [
+    Step::TwoReloads,
+    Step::ReloadAndLeave,
+    Step::LeaveTwice,
+    Step::Replace,
+    Step::ReplaceTwice,
+    Step::SuccessorLeaves,
+    Step::SuccessorDies,
+    Step::PredecessorLeaves,
+    Step::Kill,
+    Step::Crowd,
+    Step::Publish,
+    Step::Cuts,
+];
+
+/// A process that was killed: its clients may lose what was in flight.
+struct KilledProcess {
+    node: usize,
+    at: Instant,
+}
+
+/// A run of one seed.
+struct Soak {
+    cluster: Cluster,
+    rng: Rng,
+    kills: Vec<KilledProcess>,
+    /// The config version that each node last acted on.
+    acting: [u64; NODES],
+    folder: Scratch,
+}
+
+impl Soak {
+    fn start(seed: u64) -> Soak {
+        let folder = Scratch::new(&format!("soak-{seed}"));
+        std::fs::create_dir_all(&folder.0).unwrap();
+        let config = configuration(&json!({"stop_ms": STOP.as_millis() as u64}));
+        let versions = "[fleet.versions]\nfolder = \"FOLDER/versions\"\n\
+                        electors = [\"n0\", \"n1\", \"n2\"]\nlease_ms = 3000\n";
+        let config = ClusterConfig::new(PROGRAM, config, folder.0.clone(), versions.into());
+        Soak {
+            cluster: Cluster::start_converged(config, NODES),
+            rng: Rng::with_seed(seed),
+            kills: Vec::new(),
+            acting: [0; NODES],
+            folder,
+        }
+    }
+
+    fn signal(&self, node: usize, signal: &str) {
+        self.cluster.signal(node, signal);
+    }
+
+    fn address(&self, node: usize) -> SocketAddr {
+        let process = self.cluster.nodes[node].process.as_ref();
+        process.expect("the node runs").client_address
+    }
+
+    /// Waits a while of at most so many milliseconds.
+    fn pause(&mut self, most_ms: u64) {
+        std::thread::sleep(Duration::from_millis(self.rng.u64(0..=most_ms)));
+    }
+
+    fn run(&mut self, step: Step) {
+        let node = self.rng.usize(..NODES);
+        match step {
+            Step::TwoReloads => {
+                self.signal(node, "-HUP");
+                self.pause(2);
+                self.signal(node, "-HUP");
+            }
+            Step::ReloadAndLeave => {
+                self.signal(node, "-HUP");
+                self.leave_and_restart(node);
+            }
+            Step::LeaveTwice => {
+                self.signal(node, "-TERM");
+                self.pause(800);
+                self.leave_and_restart(node);
+            }
+            Step::Replace => self.replace(node),
+            Step::ReplaceTwice => {
+                self.replace(node);
+                self.replace(node);
+            }
+            Step::SuccessorLeaves => self.end_successor(node, "-TERM"),
+            Step::SuccessorDies => self.end_successor(node, "-KILL"),
+            Step::PredecessorLeaves => self.leave_while_replaced(node),
+            Step::Kill => {
+                self.kill(node);
+                self.cluster.start(node);
+            }
+            Step::Crowd => self.crowd(node),
+            Step::Publish => self.publish(node),
+            Step::Cuts => self.cut_links(),
+        }
+    }
+
+    /// Tells a node's process to leave, which ends with success before it would be killed, and
+    /// starts another one.
+    fn leave_and_restart(&mut self, node: usize) {
+        self.signal(node, "-TERM");
+        self.expect_end(node, Instant::now());
+        self.cluster.start(node);
+    }
+
+    /// The process that was told to leave ends with success before it would be killed.
+    fn expect_end(&mut self, node: usize, told_at: Instant) {
+        let mut process = self.cluster.nodes[node].process.take().unwrap();
+        assert_eq!(process.wait().code(), Some(0), "n{node} was told to leave");
+        let took = told_at.elapsed();
+        assert!(took < STOP, "n{node} would have been killed: {took:?}");
+    }
+
+    fn replace(&mut self, node: usize) {
+        let behind = self.cluster.history.lines().len();
+        let name = format!("n{node}");
+        let launched = self.cluster.launch(node, &name, Some(self.address(node)));
+        let number = launched.number;
+        let serves = |line: &LogLine| {
+            line.process == number && line.text.contains("took over, this process serves")
+        };
+        let served = self.cluster.history.wait(behind, serves);
+        assert!(served.is_some(), "{:#?}", self.cluster.tail(node));
+        let successor = self.cluster.wait_ready(launched);
+        // The earliest moment that the page allows.
+        let mut old = self.cluster.nodes[node].process.replace(successor).unwrap();
+        old.signal("-TERM");
+        assert_eq!(old.wait().code(), Some(0), "n{node}'s predecessor");
+    }
+
+    /// Starts a successor and ends it, whatever it has reached; the predecessor goes on.
+    fn end_successor(&mut self, node: usize, signal: &str) {
+        let name = format!("n{node}");
+        let mut launched = self.cluster.launch(node, &name, Some(self.address(node)));
+        self.pause(30);
+        launched.signal(signal);
+        launched.wait();
+        if signal == "-KILL" {
+            self.record_kill(node);
+        }
+    }
+
+    /// Tells a process to leave while its successor starts. Whichever of them ends, one serves in
+    /// the end.
+    fn leave_while_replaced(&mut self, node: usize) {
+        let name = format!("n{node}");
+        let mut launched = self.cluster.launch(node, &name, Some(self.address(node)));
+        self.pause(30);
+        self.signal(node, "-TERM");
+        let mut old = self.cluster.nodes[node].process.take().unwrap();
+        assert_eq!(old.wait().code(), Some(0), "n{node}'s predecessor");
+        // The successor may have been rejected, as its predecessor leaves.
+        launched.signal("-TERM");
+        launched.wait();
+        self.cluster.start(node);
+    }
+
+    fn kill(&mut self, node: usize) {
+        self.record_kill(node);
+        self.cluster.kill(node);
+    }
+
+    fn record_kill(&mut self, node: usize) {
+        let at = Instant::now();
+        self.kills.push(KilledProcess { node, at });
+    }
+
+    /// Many connections at once, of which each sends a read and waits for nothing.
+    fn crowd(&mut self, node: usize) {
+        let address = self.address(node);
+        let connect = |_| TcpStream::connect(address).ok();
+        let mut streams: Vec<TcpStream> = (0..CROWD).filter_map(connect).collect();
+        for (i, stream) in streams.iter_mut().enumerate() {
+            let request = json!({"jsonrpc": "2.0", "id": 1, "method": "rota-view", "params": {
+                "ref": format!("ffff{i:012x}"), "since": 0, "sender": 99, "allow": 2000,
+                "effort": 12.5, "room": 24.5, "class_rank": 0.5, "doc": ""}});
+            let _ = stream.write_all(format!("{request}\n").as_bytes());
+        }
+        // What is no message of a front ends its connection alone.
+        if let Some(stream) = streams.first_mut() {
+            let _ = stream.write_all(&packet("/view", &[], b"x"));
+        }
+        self.pause(300);
+    }
+
+    fn publish(&mut self, node: usize) {
+        let file = self.folder.0.join("version.json");
+        std::fs::write(&file, json!({"operator": ""}).to_string()).unwrap();
+        let process = self.cluster.nodes[node].process.as_ref().unwrap();
+        let control = process.control_address.to_string();
+        let file = file.to_str().unwrap();
+        let words = ["fleet", "publish", file, "--why", "soak", "--at", &control];
+        let status = Command::new(PROGRAM).args(words).output().unwrap().status;
+        assert!(status.code().is_some(), "the command does not crash");
+    }
+
+    fn cut_links(&mut self) {
+        let delay = Duration::from_millis(self.rng.u64(0..50));
+        let faults = LinkFaults {
+            loss: 0.2,
+            delay,
+            is_cut: self.rng.bool(),
+            ..LinkFaults::default()
+        };
+        let (from, to) = (self.rng.usize(..NODES), self.rng.usize(..NODES));
+        self.cluster.links.set(from, to, faults);
+        self.pause(600);
+        self.cluster.links.heal();
+    }
+
+    /// What holds after each step: every node has one process that lives and serves, nothing has
+    /// panicked or miscounted, and no node acts on an older version than before.
+    fn check(&mut self, step: Step) {
+        for node in &mut self.cluster.nodes {
+            let process = node.process.as_mut().expect("a process");
+            assert!(
+                !process.has_ended(),
+                "{step:?}: {}'s process ended",
+                node.name
+            );
+        }
+        let serves = |cluster: &Cluster, node: usize| {
+            let control = cluster.nodes[node]
+                .process
+                .as_ref()
+                .unwrap()
+                .control_address;
+            call_control(control, "GET /status").is_some_and(|r| r.body == "active\n")
+        };
+        self.cluster
+            .wait(&format!("{step:?}: all serve"), |cluster| {
+                (0..NODES).all(|node| serves(cluster, node))
+            });
+        self.cluster.wait_converged(&format!("{step:?}"));
+        for text in ["panic: ", "accounting: ", "panicked"] {
+            let lines = self.cluster.lines_containing(text);
+            assert!(lines.is_empty(), "{step:?}: {lines:#?}");
+        }
+        for (node, before) in self.acting.iter_mut().enumerate() {
+            let view = self.cluster.view(node).expect("a view");
+            let acting = view["versions"]["acting"].as_u64().expect("a version");
+            assert!(
+                acting >= *before,
+                "{step:?}: n{node} acts on {acting} after {before}"
+            );
+            *before = acting;
+        }
+    }
+
+    /// Whether a process whose clients may lose requests was killed on the node just before.
+    fn was_killed(&self, node: usize, lost_at: Instant) -> bool {
+        self.kills.iter().any(|kill| {
+            kill.node == node && kill.at <= lost_at && lost_at <= kill.at + KILL_NOTICED
+        })
+    }
+
+    /// What holds for all requests.
+    fn check_requests(&self, logs: &[ClientLog]) {
+        let processors: Vec<&Processor> = self.cluster.nodes.iter().map(|n| &n.processor).collect();
+        let counts = verify(logs, &processors).unwrap_or_else(|violation| panic!("{violation}"));
+        println!("{counts:?}");
+        assert!(counts.served > 0, "{counts:?}");
+        for (client, log) in logs.iter().enumerate() {
+            let longest = log.longest_latency;
+            assert!(longest <= DEADLINE, "an answer took {longest:?}");
+            let runs = processors[client % NODES].run_counts();
+            // A process that ends on SIGTERM answers all that it has run.
+            let is_unanswered = |request: &&SentRequest| {
+                request.outcome == RequestOutcome::ConnectionLost
+                    && runs.contains_key(&request.body)
+                    && !self.was_killed(client % NODES, request.ended_at)
+            };
+            let unanswered = log.requests.iter().find(is_unanswered);
+            let body = unanswered.map(|r| String::from_utf8_lossy(&r.body));
+            assert_eq!(
+                body, None,
+                "it ran, and its connection ended without an answer"
+            );
+        }
+    }
+
+    /// Without clients every table is empty, and descriptors are those of a process that has just
+    /// started; then all leave, and their addresses are free.
+    fn check_rest(&mut self, idle_descriptors: usize) {
+        for node in 0..NODES {
+            let behind = self.cluster.history.lines().len();
+            let number = self.cluster.nodes[node].process.as_ref().unwrap().number;
+            let is_idle = |line: &LogLine| {
+                line.process == number
+                    && line.text.starts_with("now: requests=0 running=0")
+                    && line.text.ends_with("connections=0 open=0")
+            };
+            self.cluster.wait("tables are empty", |cluster| {
+                cluster.signal(node, "-USR1");
+                std::thread::sleep(Duration::from_millis(30));
+                cluster.history.lines()[behind..].iter().any(is_idle)
+            });
+            let used = descriptors(&self.cluster, node);
+            assert!(
+                used <= idle_descriptors + CHANGING_DESCRIPTORS,
+                "n{node}: {used} descriptors, {idle_descriptors} at the start"
+            );
+        }
+        for node in 0..NODES {
+            let address = self.address(node);
+            self.signal(node, "-TERM");
+            self.expect_end(node, Instant::now());
+            assert!(TcpListener::bind(address).is_ok(), "{address} stays taken");
+        }
+    }
+}
+
+fn descriptors(cluster: &Cluster, node: usize) -> usize {
+    let id = cluster.nodes[node].process.as_ref().unwrap().id();
+    let folder = std::fs::read_dir(format!("/proc/{id}/fd"));
+    folder.unwrap().count()
+}
+
+/// Plays the schedule of a seed.
+fn play(seed: u64) {
+    println!(
+        "soak: seed={seed}; again: SOAK_SEEDS=\"{seed} {seed}\" cargo test -p pipitlever-node \
+         --test soak -- --ignored --nocapture"
+    );
+    let start = Instant::now();
+    let mut soak = Soak::start(seed);
+    let idle_descriptors = descriptors(&soak.cluster, 0);
+    let clients: Vec<Client> = (0..NODES * CLIENTS_PER_NODE)
+        .map(|client| soak.cluster.start_client_as(client, client % NODES))
+        .collect();
+    let mut schedule = ALL_STEPS;
+    soak.rng.shuffle(&mut schedule);
+    for step in &schedule[..STEPS] {
+        println!("soak: seed={seed} at={:?} step={step:?}", start.elapsed());
+        soak.run(*step);
+        soak.check(*step);
+    }
+    let logs: Vec<ClientLog> = clients.into_iter().map(Client::stop).collect();
+    soak.check_requests(&logs);
+    soak.check_rest(idle_descriptors);
+}
+
+#[test]
+fn a_short_soak_keeps_the_rules() {
+    for seed in [1, 2] {
+        play(seed);
+    }
+}
+
+/// By hand: the seeds from the first to the last that `SOAK_SEEDS` names.
+#[test]
+#[ignore]
+fn a_long_soak_keeps_the_rules() {
+    let text = std::env::var("SOAK_SEEDS").unwrap_or("1 50".into());
+    let seeds: Vec<u64> = text.split(' ').map(|word| word.parse().unwrap()).collect();
+    let [first, last] = seeds[..] else {
+        panic!("SOAK_SEEDS=\"FIRST LAST\"")
+    };
+    let is_red = |seed: &u64| std::panic::catch_unwind(|| play(*seed)).is_err();
+    let red: Vec<u64> = (first..=last).filter(is_red).collect();
+    println!("soak: seeds={first}..={last} failed={red:?}");
+    assert!(red.is_empty(), "{red:?}");
+}
