Show that requests stay unanswered if SIGTERM comes before the processor is up

The notice to drain is dropped while there is no admission controller, and the controller that starts with the processor never learns of it. Requests that it starts and that outlast `stop_ms` end without an answer.

--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. With
 //! `TROUBLE=0` the case plays without its disruption.
 
+mod early_drain;
 mod gateway;
 mod node;
 mod platform;
@@ -43,6 +44,7 @@
     let trouble = if has_trouble { "on" } else { "off" };
     record.say(&format!("case {case}, disruption {trouble}"));
     let verdict = match case.as_str() {
+        "early-drain" => early_drain::play(&record, has_trouble),
         "worker-loss" => worker_loss::play(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
