Show that a run is given the reply to its earlier call after a link to the processor breaks

After a break the node repeats the reply to a call that the broken link may have lost. If the processor had read the first one and the run has come to its next call meanwhile, the repeated reply is taken for that call, and the gateway is served a result made from it.

--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod node;
 mod platform;
+mod reply;
 mod util;
 mod worker_loss;
 
@@ -45,6 +46,7 @@
     record.say(&format!("case {case}, disruption {trouble}"));
     let verdict = match case.as_str() {
         "early-drain" => early_drain::play(&record, has_trouble),
+        "reply" => reply::play(&record, has_trouble),
         "worker-loss" => worker_loss::play(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
