--- a/review/stand-ins/src/early_drain.rs
+++ b/review/stand-ins/src/early_drain.rs
@@ -44,7 +44,7 @@
         }
         sleep_ms(20);
     }
-    sleep_ms(PROCESSOR_UP_MS - record.ms());
+    sleep_ms(PROCESSOR_UP_MS.saturating_sub(record.ms()));
     if has_trouble {
         node.signal("-TERM");
     } else {
--- a/review/stand-ins/src/node.rs
+++ b/review/stand-ins/src/node.rs
@@ -1,6 +1,6 @@
 //! The node's processes, started with the command of the deploy file.
 
-use crate::util::{add_child, remove_child, sleep_ms, unix_ms, Record};
+use crate::util::{add_child, remove_child, send_signal, sleep_ms, unix_ms, Record};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -151,8 +151,7 @@
     pub fn signal(&self, signal: &str) {
         if self.code.is_none() {
             self.record.line(&format!("{}: signal {signal}", self.name));
-            let id = self.child.id().to_string();
-            let _ = Command::new("kill").args([signal, &id]).status();
+            send_signal(signal, self.child.id());
         }
     }
 
--- a/review/stand-ins/src/util.rs
+++ b/review/stand-ins/src/util.rs
@@ -29,10 +29,16 @@
     CHILDREN.lock().expect("no holder panics").retain(|&child| child != id);
 }
 
+/// Sends a signal to a process that this case has started.
+pub fn send_signal(signal: &str, id: u32) {
+    let command = format!("kill {signal} {id}");
+    let _ = std::process::Command::new("/bin/sh").arg("-c").arg(command).status();
+}
+
 /// Kills all processes that have not ended.
 pub fn kill_children() {
     for id in CHILDREN.lock().expect("no holder panics").drain(..) {
-        let _ = std::process::Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        send_signal("-KILL", id);
     }
 }
 
