Send a reply in doubt again only to a run that still waits for it

Cause: the node sent an `answer` that the broken connection may have lost again if the run had not been heard of by the time the new connection had delivered all notices. A run that has read the reply is silent while it works. If it requests its next call while that notice is on its way, the repeated `answer`, which names the request alone, is taken for the reply to that call.

Change: replies in doubt are kept apart from starts and interrupts. One is sent again once its run has been silent on the new connection for longer than runs have recently worked at a time, and the gauge shows no more runs on the cores than the other ones that are known to work; without such a gauge ten times that long has to pass. Any notice about a run removes its earlier reply wherever it still waits: a repeated reply in the queue could be written after the run's next call was read, too.

--- a/crates/core/src/core/resend.rs
+++ b/crates/core/src/core/resend.rs
@@ -32,9 +32,9 @@
             })
     }
 
-    /// Whether the reply of a call may be sent again: the run has neither ended nor requested
-    /// another call. If the processor did receive the first reply, it rejects the second one, and
-    /// that rejection is ignored.
+    /// Whether the reply of a call may be sent again, once the processor is known not to have read
+    /// it: the run has neither ended nor requested another call. Should the run have read the first
+    /// reply nevertheless, the processor rejects the second one, and that rejection is ignored.
     pub fn may_resend_reply(&mut self, reference: Reference) -> bool {
         let Some(id) = self.requests.id_of(reference) else {
             return false;
--- a/crates/node/src/net/event_loop/processor_notices.rs
+++ b/crates/node/src/net/event_loop/processor_notices.rs
@@ -20,7 +20,7 @@
     pub fn handle_notice(&mut self, notice: Notice) {
         match notice {
             Notice::Hello { is_cold, uptime_ms } => {
-                self.processor.handle_hello();
+                self.processor.handle_hello(self.clock.now());
                 self.with_core(|core, now| core.start(now, now - micros(uptime_ms), is_cold));
             }
             Notice::RunEnded {
@@ -31,11 +31,15 @@
             } => {
                 let outcome = run_outcome(outcome);
                 let duration = micros(duration_ms);
+                self.processor
+                    .handle_work_ended(self.clock.now(), reference);
                 self.with_core(|core, now| {
                     core.handle_run_finished(now, reference, outcome, duration, result);
                 });
             }
             Notice::CallRequested { reference, body } => {
+                self.processor
+                    .handle_work_ended(self.clock.now(), reference);
                 self.with_core(|core, now| core.handle_call_requested(now, reference, body));
             }
             Notice::Gauges { query, values } => self.handle_gauges(query, &values),
@@ -45,6 +49,7 @@
                     CommandKind::Interrupt => RejectedCommand::Stop,
                     CommandKind::Other => RejectedCommand::Other,
                 };
+                self.processor.handle_command_rejected(reference);
                 self.with_core(|core, now| core.handle_command_rejected(now, reference, command));
             }
         }
@@ -64,8 +69,9 @@
             connections: gauge("links"),
         };
         self.with_core(|core, now| core.update_gauges(now, gauges));
+        let now = self.clock.now();
         self.processor
-            .handle_gauge_reply(self.clock.now(), query, &mut self.core);
+            .handle_gauge_reply(now, query, gauges.runnable, &mut self.core);
     }
 }
 
--- a/crates/node/src/net/processor.rs
+++ b/crates/node/src/net/processor.rs
@@ -16,6 +16,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 1000;
 /// Shortest time between two attempts to connect, in milliseconds.
 const RECONNECT_INTERVAL_MS: u64 = 50;
+/// Time between two gauge queries while replies are in doubt, in milliseconds.
+const DOUBT_QUERY_INTERVAL_MS: u64 = 20;
 /// Size of the buffer that notices are read into, in bytes.
 const READ_BUFFER_BYTES: usize = 16384;
 /// Capacity to which the write buffer shrinks after a burst, in bytes.
@@ -73,6 +75,7 @@
     state.borrow_mut().count_processor_connection();
     let hello = reader.hello();
     let exchange = future::or(read(state, reader, &stream), write(state, hello, &stream));
+    let exchange = future::or(exchange, query_while_in_doubt(state));
     let close_timeout = async {
         address_changed.wait().await;
         Timer::at(after_ms(CLOSE_TIMEOUT_MS)).await;
@@ -101,6 +104,18 @@
     }
 }
 
+/// Queries the gauges regularly while it is not known whether the processor has read some replies.
+async fn query_while_in_doubt(state: &SharedState) {
+    let reply_in_doubt = state.borrow().processor.reply_in_doubt.clone();
+    loop {
+        while !state.borrow().processor.has_replies_in_doubt() {
+            reply_in_doubt.wait().await;
+        }
+        Timer::at(after_ms(DOUBT_QUERY_INTERVAL_MS)).await;
+        state.borrow_mut().processor.query_gauges();
+    }
+}
+
 /// Writes the hello and then batches of commands, until the connection is to be closed.
 async fn write(state: &SharedState, hello: Vec<u8>, stream: &Async<TcpStream>) {
     if stream.write_all(&hello).await.is_err() {
--- a/crates/node/src/net/processor_connection.rs
+++ b/crates/node/src/net/processor_connection/mod.rs
@@ -1,71 +1,31 @@
 //! Command queue of the processor connection, and the tracking of which commands the processor has
 //! read.
 
+mod command;
+mod run_activity;
+#[cfg(test)]
+mod tests;
+mod unconfirmed_replies;
+
+pub use command::ProcessorCommand;
+
+use crate::log::log;
 use crate::net::notify::Notify;
+use command::QueuedCommand;
 use pipitlever_admission::Micros;
 use pipitlever_core::{Core, Reference};
 use pipitlever_wire::processor;
+use run_activity::RunActivity;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use unconfirmed_replies::{ProcessorSnapshot, UnconfirmedReplies};
 
 /// A connection is regarded as alive for this time after a reply, in microseconds.
 const ALIVE_WINDOW: Micros = 2000;
 /// Maximum number of commands in a batch.
 const MAX_BATCH: usize = 64;
 
-/// A command to the processor.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ProcessorCommand {
-    /// Starts a run.
-    Start {
-        /// Reference of the request.
-        reference: Reference,
-        /// Whether the run must not happen twice.
-        is_keyed: bool,
-        /// Name of the request's class.
-        class: Rc<str>,
-    },
-    /// The reply to a request's ledger call.
-    CallReply(Reference),
-    /// Stops a run.
-    Interrupt(Reference),
-}
-
-#[derive(Clone, Debug)]
-struct QueuedCommand {
-    command: ProcessorCommand,
-    body: Rc<[u8]>,
-}
-
-impl QueuedCommand {
-    fn write(&self, out: &mut Vec<u8>) {
-        match &self.command {
-            ProcessorCommand::Start {
-                reference, class, ..
-            } => processor::write_start(out, *reference, class, &self.body),
-            ProcessorCommand::CallReply(reference) => {
-                processor::write_call_reply(out, *reference, &self.body);
-            }
-            ProcessorCommand::Interrupt(reference) => processor::write_interrupt(out, *reference),
-        }
-    }
-
-    /// Whether the command may be sent again if the processor may have read it already. The start
-    /// of a keyed run may not be sent again: the run may have ended.
-    fn may_resend(&self, core: &mut Core) -> bool {
-        match &self.command {
-            ProcessorCommand::Start {
-                reference,
-                is_keyed,
-                ..
-            } => !is_keyed && core.may_resend_start(*reference),
-            ProcessorCommand::CallReply(reference) => core.may_resend_reply(*reference),
-            ProcessorCommand::Interrupt(reference) => core.may_resend_stop(*reference),
-        }
-    }
-}
-
 /// The commands to the processor, and the state of its connection.
 ///
 /// A connection that breaks may lose the last bytes that were written to it. Commands are therefore
@@ -89,13 +49,21 @@
     queue: VecDeque<QueuedCommand>,
     /// Commands that are written and not confirmed to be read.
     unconfirmed: Vec<QueuedCommand>,
-    /// Unconfirmed commands of connections that broke, until the current connection has delivered
-    /// all notices that the old ones left unread.
+    /// Unconfirmed starts and interrupts of connections that broke, until the current connection
+    /// has delivered all notices that the old ones left unread.
     in_doubt: Vec<QueuedCommand>,
+    /// Unconfirmed replies of connections that broke.
+    replies_in_doubt: UnconfirmedReplies,
+    /// Notified when a reply comes into doubt.
+    pub reply_in_doubt: Notify,
+    /// What the runs at the processor are known to be doing.
+    activity: RunActivity,
     /// Whether notices of old connections may still arrive on the current one.
     is_catching_up: bool,
     /// Number of the last query.
     last_query: u64,
+    /// When the last query was written.
+    last_query_at: Micros,
     /// Whether the reply to the last query has arrived.
     is_query_answered: bool,
     /// When the last reply arrived.
@@ -116,8 +84,12 @@
             queue: VecDeque::new(),
             unconfirmed: Vec::new(),
             in_doubt: Vec::new(),
+            replies_in_doubt: UnconfirmedReplies::default(),
+            reply_in_doubt: Notify::new(),
+            activity: RunActivity::default(),
             is_catching_up: false,
             last_query: 0,
+            last_query_at: 0,
             is_query_answered: true,
             // Halved, so that the subtraction from the current time does not overflow.
             last_reply: Micros::MIN / 2,
@@ -155,8 +127,12 @@
         self.is_query_due = false;
         self.is_query_answered = false;
         self.last_query += 1;
+        self.last_query_at = now;
         for command in &self.unconfirmed {
             command.write(out);
+            if let Some(run) = command.working_run() {
+                self.activity.begin_work(now, run);
+            }
         }
         processor::write_gauge_query(out, self.last_query);
         true
@@ -178,8 +154,15 @@
     }
 
     /// Handles the reply to a query. The reply to the last query confirms that the processor has
-    /// read all commands that were written before it.
-    pub fn handle_gauge_reply(&mut self, now: Micros, query: Option<u64>, core: &mut Core) {
+    /// read all commands that were written before it. `runnable` is the reported number of runs
+    /// that use or wait for a core.
+    pub fn handle_gauge_reply(
+        &mut self,
+        now: Micros,
+        query: Option<u64>,
+        runnable: Option<f64>,
+        core: &mut Core,
+    ) {
         if query != Some(self.last_query) {
             return;
         }
@@ -189,12 +172,13 @@
         if std::mem::take(&mut self.is_catching_up) {
             self.requeue_in_doubt(core);
         }
+        self.requeue_lost_replies(runnable, core);
         self.changed.notify();
     }
 
-    /// Queues those commands in doubt that may be sent again, ahead of all others. Called once the
-    /// new connection has delivered all notices of the old ones.
-    fn requeue_in_doubt(&mut self, core: &mut Core) {
+    /// Queues those starts and interrupts in doubt that may be sent again, ahead of all others.
+    /// Called once the new connection has delivered all notices of the old ones.
+    fn requeue_in_doubt(&mut self, core: &Core) {
         for command in std::mem::take(&mut self.in_doubt).into_iter().rev() {
             if command.may_resend(core) {
                 self.queue.push_front(command);
@@ -202,6 +186,48 @@
         }
     }
 
+    /// Queues those replies in doubt that the processor has not read, ahead of all other commands.
+    fn requeue_lost_replies(&mut self, runnable: Option<f64>, core: &mut Core) {
+        if self.replies_in_doubt.is_empty() {
+            return;
+        }
+        let snapshot = ProcessorSnapshot {
+            queried_at: self.last_query_at,
+            runnable,
+        };
+        for lost in self.replies_in_doubt.take_lost(snapshot, &self.activity) {
+            if core.may_resend_reply(lost.run) {
+                let silent_ms = lost.silence / 1000;
+                log(&format!(
+                    "processor: reply sent again ref={:016x} silent_ms={silent_ms}",
+                    lost.run
+                ));
+                self.queue.push_front(lost.command);
+            }
+        }
+    }
+
+    /// Whether the processor may not have read some replies, so that gauges are needed to decide
+    /// whether to send them again.
+    pub fn has_replies_in_doubt(&self) -> bool {
+        !self.replies_in_doubt.is_empty()
+    }
+
+    /// Handles a notice that a run has requested a call or has ended: it waits for no earlier
+    /// reply, so none may be sent to it any more. Called before the notice is passed to the core.
+    pub fn handle_work_ended(&mut self, now: Micros, run: Reference) {
+        self.activity.end_work(now, run);
+        self.replies_in_doubt.remove(run);
+        let is_stale = |queued: &QueuedCommand| queued.is_reply_to(run);
+        self.queue.retain(|queued| !is_stale(queued));
+        self.unconfirmed.retain(|queued| !is_stale(queued));
+    }
+
+    /// Handles the rejection of a command: its run is not known to work.
+    pub fn handle_command_rejected(&mut self, run: Reference) {
+        self.activity.forget(run);
+    }
+
     /// Whether the connection can be closed: the processor's address has changed, and the processor
     /// has read all commands that were written to this connection.
     pub fn is_finished(&self) -> bool {
@@ -218,15 +244,31 @@
     /// its reply follows all notices that the old connection left unread. An unanswered query of
     /// the old connection is no longer waited for: the processor repeats only numbered notices, and
     /// gauge replies have no number.
-    pub fn handle_hello(&mut self) {
+    pub fn handle_hello(&mut self, now: Micros) {
         self.is_up = true;
         self.is_query_due = true;
         self.is_query_answered = true;
-        self.in_doubt.append(&mut self.unconfirmed);
+        for command in std::mem::take(&mut self.unconfirmed) {
+            self.add_in_doubt(now, command);
+        }
         self.is_catching_up = true;
         self.changed.notify();
     }
 
+    /// Adds a command that was written to a broken connection and not confirmed.
+    fn add_in_doubt(&mut self, now: Micros, command: QueuedCommand) {
+        if let Some(run) = command.working_run() {
+            self.activity.forget(run);
+        }
+        match command.command {
+            ProcessorCommand::CallReply(run) => {
+                self.replies_in_doubt.add(now, run, command);
+                self.reply_in_doubt.notify();
+            }
+            _ => self.in_doubt.push(command),
+        }
+    }
+
     /// Sets the processor's address.
     pub fn set_address(&mut self, address: Option<SocketAddr>) {
         let previous = std::mem::replace(&mut self.address, address);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -604,6 +604,19 @@
         }
     }
 
+    /// Answers the next command if it is `usage`, with this number of runnable runs. Returns whether
+    /// it was; another command is left unread.
+    pub fn answer_usage(&mut self, runnable: u32) -> bool {
+        let commands = &mut self.connection.as_mut().unwrap().1;
+        let is_usage = commands.fill_buf().expect("a command").starts_with(b"u");
+        if is_usage {
+            let line = self.read_line();
+            let tag = line.strip_prefix("usage ").expect("a tag");
+            self.send(format!("used {tag} 0.5 {runnable} 0.1 2\r\n").as_bytes());
+        }
+        is_usage
+    }
+
     /// The next command other than `usage`, with its body. `usage` commands are answered.
     pub fn command(&mut self) -> (Vec<String>, Vec<u8>) {
         let start = Instant::now();
--- a/crates/node/tests/repeats.rs
+++ b/crates/node/tests/repeats.rs
@@ -11,6 +11,10 @@
 /// The duplicate window of keys in these tests, in milliseconds.
 const WINDOW_MS: u64 = 1500;
 
+/// How long a run works before its first call. The node waits for a run that may have read a reply
+/// for at least this long, however slow the machine of the tests is.
+const WORK_TIME: Duration = Duration::from_millis(200);
+
 /// Starts a node whose keys have a short window, with its processor and a gateway.
 fn start_with_short_window(extra_entries: Value) -> (Node, Processor, Gateway) {
     let mut settings = configuration(&json!({}))["settings"].clone();
@@ -260,3 +264,62 @@
     gateway.send("alive", json!({}));
     assert_eq!(gateway.receive()["result"]["healthy"], true);
 }
+
+/// Guards against a reply that a broken connection may have lost and that is sent again although
+/// its run works: if the run's next call is on its way by then, the processor takes the repeated
+/// reply for the reply to that call.
+#[test]
+fn a_reply_that_was_read_before_a_break_is_not_sent_for_the_next_call() {
+    let ledger = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (node, mut processor, mut gateway) =
+        start_with_short_window(json!({"ledger": ledger.local_addr().unwrap()}));
+    gateway.send("rota-view", request_params(6000, None, b"body"));
+    let (id, _) = processor.begin();
+    std::thread::sleep(WORK_TIME);
+    processor.notice("ask", &id, b"first");
+    let mut connection = LedgerConnection::accept(&ledger);
+    connection.post();
+    connection.reply(&format!("{id} posted 3\r\none\r\n"));
+    assert_eq!(processor.command().1, b"one");
+    // The run works now. The connection breaks before the node knows that the reply was read.
+    processor.disconnect();
+    processor.accept_running();
+    assert_eq!(processor.hello, "hello 1");
+    // The node has handled all earlier notices and the first gauges when it queries them again.
+    for _ in 0..2 {
+        assert!(processor.answer_usage(1), "the run waits for nothing");
+    }
+    processor.notice("ask", &id, b"second");
+    let mut connection = LedgerConnection::accept(&ledger);
+    assert_eq!(connection.post().1, b"second");
+    connection.reply(&format!("{id} posted 3\r\ntwo\r\n"));
+    assert_eq!(processor.command().1, b"two");
+    processor.complete(&id, "fine", b"served");
+    expect_result(&mut gateway, b"served");
+    drop(node);
+}
+
+/// Guards against a run that is never given a reply that a broken connection has lost.
+#[test]
+fn a_reply_that_was_lost_with_a_break_reaches_its_run() {
+    let ledger = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (node, mut processor, mut gateway) =
+        start_with_short_window(json!({"ledger": ledger.local_addr().unwrap()}));
+    for runnable in [0, 1] {
+        gateway.send("rota-view", request_params(6000, None, b"body"));
+        let (id, _) = processor.begin();
+        processor.notice("ask", &id, b"call");
+        let mut connection = LedgerConnection::accept(&ledger);
+        connection.post();
+        connection.reply(&format!("{id} posted 5\r\nreply\r\n"));
+        assert_eq!(processor.command().1, b"reply");
+        processor.disconnect();
+        processor.accept_running();
+        // Gauges that count more than runs delay the reply, and do not keep it back.
+        while processor.answer_usage(runnable) {}
+        assert_eq!(processor.command().1, b"reply");
+        processor.complete(&id, "fine", b"served");
+        expect_result(&mut gateway, b"served");
+    }
+    drop(node);
+}
--- a/crates/node/tests/rules.rs
+++ b/crates/node/tests/rules.rs
@@ -177,15 +177,16 @@
         assert_eq!(processor.hello, hello);
         processor.send(b"hi running 2000\r\n");
     };
-    // The repeated notice is not applied again; the reply is sent again, then the queued request.
+    // The repeated notice is not applied again. The queued request is sent at once, and the reply
+    // once the run has been silent for too long to have read it.
     reconnect(&mut processor, "hello 1");
     processor.send(format!("ask 1 {run_id} 4\r\ncall\r\n").as_bytes());
+    let (write, body) = processor.begin();
+    assert_eq!(body, b"waits");
     assert_eq!(processor.command(), answer);
     // If the first reply was read after all, the processor rejects the second one, which has no
     // effect.
     processor.send(format!("reject answer {run_id}\r\n").as_bytes());
-    let (write, body) = processor.begin();
-    assert_eq!(body, b"waits");
     processor.complete(&run_id, "fine", b"1");
     assert_eq!(gateway.receive()["result"]["doc"], base64(b"1"));
     // The start of a read is sent again; that of a write is not, as its run may have ended.
