Fail a single-shot request that may have run instead of running it on another worker

Cause: the node took every class without an idempotency key for idempotent (`is_idempotent: !class.is_keyed`). A `single_shot` class has no key and must not be repeated. The controller, and the core's repeated starts, go by the kind of the class and were right.

Change: the class definition carries whether its requests are idempotent, and so do worker runs and starts at the processor.

A refused connection is still retried (a second test, passes before and after).

--- a/crates/node/src/net/event_loop/classes.rs
+++ b/crates/node/src/net/event_loop/classes.rs
@@ -25,6 +25,8 @@
     pub name: Rc<str>,
     /// Whether requests of the class carry an idempotency key.
     pub is_keyed: bool,
+    /// Whether a request of the class may run more than once.
+    pub is_idempotent: bool,
     /// The workers that serve the class; none if the processor serves it.
     pub worker_route: Option<WorkerRoute>,
     /// Priority of requests whose protocol carries none: the middle of the class's priority band.
@@ -42,6 +44,7 @@
     pub fn is_same_as(&self, other: &ClassDefinition) -> bool {
         self.name == other.name
             && self.is_keyed == other.is_keyed
+            && self.is_idempotent == other.is_idempotent
             && self.worker_route == other.worker_route
     }
 }
@@ -110,6 +113,7 @@
     ClassDefinition {
         name: name.into(),
         is_keyed: class.idempotency == Idempotency::Keyed,
+        is_idempotent: class.idempotency == Idempotency::Idempotent,
         worker_route: route.map(|route| WorkerRoute {
             path: route.path.clone(),
             pool: uwsgi.pool_index(route),
--- a/crates/node/src/net/event_loop/effects.rs
+++ b/crates/node/src/net/event_loop/effects.rs
@@ -48,7 +48,7 @@
         match &class.worker_route {
             Some(route) => self.pools.queue_run(WorkerRun {
                 reference,
-                is_idempotent: !class.is_keyed,
+                is_idempotent: class.is_idempotent,
                 pool: route.pool,
                 is_sticky: route.is_sticky,
                 packet: body,
@@ -57,7 +57,7 @@
             None => self.processor.send(
                 ProcessorCommand::Start {
                     reference,
-                    is_keyed: class.is_keyed,
+                    is_idempotent: class.is_idempotent,
                     class: class.name.clone(),
                 },
                 body,
--- a/crates/node/src/net/processor_connection/command.rs
+++ b/crates/node/src/net/processor_connection/command.rs
@@ -11,8 +11,8 @@
     Start {
         /// Reference of the request.
         reference: Reference,
-        /// Whether the run must not happen twice.
-        is_keyed: bool,
+        /// Whether the run may happen twice.
+        is_idempotent: bool,
         /// Name of the request's class.
         class: Rc<str>,
     },
@@ -58,14 +58,14 @@
     }
 
     /// Whether a start or an interrupt may be sent again if the processor may have read it already.
-    /// The start of a keyed run may not be sent again: the run may have ended.
+    /// The start of a run that is not idempotent may not be sent again: the run may have ended.
     pub(super) fn may_resend(&self, core: &Core) -> bool {
         match &self.command {
             ProcessorCommand::Start {
                 reference,
-                is_keyed,
+                is_idempotent,
                 ..
-            } => !is_keyed && core.may_resend_start(*reference),
+            } => *is_idempotent && core.may_resend_start(*reference),
             ProcessorCommand::Interrupt(reference) => core.may_resend_stop(*reference),
             // Decided by `UnconfirmedReplies`, as a second reply is not idempotent.
             ProcessorCommand::CallReply(_) => false,
--- a/crates/node/src/net/processor_connection/mod.rs
+++ b/crates/node/src/net/processor_connection/mod.rs
@@ -139,18 +139,21 @@
     }
 
     /// Whether queued commands may be written; otherwise a query alone has to be answered first.
-    /// The start of a keyed run is never written to a connection that may have broken since its
+    /// The start of a run that is not idempotent is never written to a connection that may have broken since its
     /// last reply: a lost start cannot be distinguished from one that was read, and cannot be sent
     /// again.
     fn may_write_commands(&self, now: Micros) -> bool {
-        let starts_keyed_run = self.queue.iter().any(|queued| {
+        let starts_unrepeatable_run = self.queue.iter().any(|queued| {
             matches!(
                 queued.command,
-                ProcessorCommand::Start { is_keyed: true, .. }
+                ProcessorCommand::Start {
+                    is_idempotent: false,
+                    ..
+                }
             )
         });
         let is_alive = now - self.last_reply <= ALIVE_WINDOW;
-        !self.is_catching_up && (!starts_keyed_run || is_alive)
+        !self.is_catching_up && (!starts_unrepeatable_run || is_alive)
     }
 
     /// Handles the reply to a query. The reply to the last query confirms that the processor has
--- a/crates/node/src/net/processor_connection/tests.rs
+++ b/crates/node/src/net/processor_connection/tests.rs
@@ -90,12 +90,7 @@
             payload_digest: 1,
         };
         self.core.handle_request(self.now, request);
-        let start = ProcessorCommand::Start {
-            reference,
-            is_keyed: false,
-            class: "class".into(),
-        };
-        self.processor.send(start, Rc::from([]));
+        self.processor.send(start(reference, true), Rc::from([]));
         assert_eq!(self.answer_query(1.0).len(), 1);
         self.now += WORK_TIME;
     }
@@ -131,6 +126,34 @@
     }
 }
 
+fn start(reference: Reference, is_idempotent: bool) -> ProcessorCommand {
+    ProcessorCommand::Start {
+        reference,
+        is_idempotent,
+        class: "class".into(),
+    }
+}
+
+/// Guards against the start of a run that must not happen twice on a connection that may have
+/// broken: it could not be sent again, and its request would fail.
+#[test]
+fn an_unrepeatable_start_is_written_only_to_a_connection_that_is_alive() {
+    let mut node = Node::new();
+    node.now += SECOND;
+    node.processor.send(start(1, false), Rc::from([]));
+    assert!(
+        node.written().is_empty(),
+        "a query has to be answered first"
+    );
+    node.confirm(0.0);
+    assert_eq!(node.written().len(), 1);
+    // In doubt it is not sent again, while that of an idempotent run is.
+    node.processor.handle_disconnect();
+    node.processor.handle_hello(node.now);
+    assert!(node.answer_query(0.0).is_empty());
+    assert!(node.written().is_empty());
+}
+
 /// Guards against a reply that is sent again while its run may have read it: the processor takes it
 /// for the reply to the next call. It is sent again once the run has been silent for longer than
 /// runs work and the gauges show that it uses no core.
--- a/crates/node/tests/pools.rs
+++ b/crates/node/tests/pools.rs
@@ -20,6 +20,8 @@
     Hang,
     /// Responds with bytes that are not HTTP.
     InvalidResponse,
+    /// Responds with more bytes than the node accepts.
+    TooLongResponse,
 }
 
 /// Starts a worker in a thread; returns its address and the count of the requests that it has read.
@@ -39,6 +41,9 @@
                 Behaviour::InvalidResponse => {
                     stream.write_all(b"\x00\x01 nothing that is HTTP\r\n\r\n")
                 }
+                Behaviour::TooLongResponse => {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")
+                }
                 Behaviour::Disconnect => Ok(()),
                 Behaviour::Hang => {
                     open.push(stream);
@@ -126,6 +131,69 @@
     assert_eq!(served.load(Ordering::SeqCst), 20);
 }
 
+/// Starts a node whose class `shift-claim` is `single_shot` and served by these workers.
+fn start_single_shot_node(addresses: &[SocketAddr]) -> Node {
+    let mut settings = configuration(&json!({}))["settings"].clone();
+    let mut class = settings["categories"][0].clone();
+    class["name"] = json!("shift-claim");
+    class["idempotency"] = json!("single_shot");
+    settings["categories"].as_array_mut().unwrap().push(class);
+    settings["familyInfo"]["classCalls"] = json!([true, true, true]);
+    let workers = workers_line(addresses);
+    let text = format!(
+        "[uwsgi]\nlisten = \"127.0.0.1:0\"\ndeadline_ms = 5000\n{workers}\
+         [[uwsgi.route]]\npath = \"/view\"\nclass = \"rota-view\"\nbackend = \"workers\"\n\
+         [[uwsgi.route]]\npath = \"/swap\"\nclass = \"swap-confirm\"\nbackend = \"workers\"\n\
+         [[uwsgi.route]]\npath = \"/claim\"\nclass = \"shift-claim\"\nbackend = \"workers\"\n"
+    );
+    let node = Node::start(json!({"settings": settings}), Some(&text));
+    node.ready();
+    node
+}
+
+/// Guards against a `single_shot` request that runs on a second worker after the first one read it
+/// and failed: without a key it counted as idempotent.
+#[test]
+fn a_single_shot_request_that_may_have_run_is_not_retried() {
+    let behaviours = [
+        Behaviour::Disconnect,
+        Behaviour::InvalidResponse,
+        Behaviour::TooLongResponse,
+    ];
+    for behaviour in behaviours {
+        let (good, served) = start_worker(Behaviour::Serve);
+        let (bad, failed) = start_worker(behaviour);
+        let node = start_single_shot_node(&[good, bad]);
+        let mut gateway = node.gateway();
+        let mut errors = 0;
+        for i in 0..15 {
+            let status = node.uwsgi_request(&packet("/claim", &[], b"x")).0;
+            assert!([200, 502].contains(&status), "{status}");
+            errors += usize::from(status == 502);
+            gateway.send("shift-claim", request_params(5000, None, b"x"));
+            let answer = gateway.receive();
+            let has_failed = answer["error"]["code"] == -32001;
+            assert!(has_failed || answer["result"].is_object(), "{i}: {answer}");
+            errors += usize::from(has_failed);
+        }
+        let (served, failed) = (served.load(Ordering::SeqCst), failed.load(Ordering::SeqCst));
+        // Each request reached exactly one worker, and each that the bad one read has failed.
+        assert_eq!((errors, served + failed), (failed, 30), "{behaviour:?}");
+        assert!(failed >= 1, "{behaviour:?}");
+    }
+}
+
+/// A `single_shot` request whose worker accepted no connection never ran: it is retried.
+#[test]
+fn a_single_shot_request_whose_connection_was_refused_goes_to_another_worker() {
+    let (good, served) = start_worker(Behaviour::Serve);
+    let node = start_single_shot_node(&[good, unused_address()]);
+    for _ in 0..20 {
+        assert_eq!(node.uwsgi_request(&packet("/claim", &[], b"x")).0, 200);
+    }
+    assert_eq!(served.load(Ordering::SeqCst), 20);
+}
+
 #[test]
 fn a_worker_that_hangs_is_ejected() {
     let ((good, _), (bad, attempts)) = (
