Drain by a shutdown notice that comes before the processor is up

Cause: the notice was an event for the admission controller and was kept nowhere else. The controller starts with the processor's hello; an event before that is dropped. The later controller knew neither the stop nor the grace period, and its first action made the node healthy again.

Change: the core keeps the notice. A controller that is started after it is passed the notice with the time that is left; its grace period is shortened by the time since the notice, so that nothing that arrives later than the grace period runs. Health stays failed. The load level of the shutdown moved from the event loop into the core, as it may become known after `goaway`.

--- a/crates/core/src/availability.rs
+++ b/crates/core/src/availability.rs
@@ -8,6 +8,10 @@
 pub(crate) struct Availability {
     /// The load level sent with every answer; `None` until the controller has computed one.
     pub(crate) load_level: Option<f64>,
+    /// The load level of a node that shuts down.
+    pub(crate) final_load_level: Option<f64>,
+    /// Whether clients are to be kept away because the node shuts down.
+    pub(crate) is_shutdown_advertised: bool,
     /// Whether the controller considers the node healthy.
     pub(crate) is_healthy: bool,
     /// Operators have set the node to standby: health checks fail, requests are still served.
@@ -27,6 +31,8 @@
     pub(crate) fn new(idle_timeout: Micros) -> Availability {
         Availability {
             load_level: None,
+            final_load_level: None,
+            is_shutdown_advertised: false,
             is_healthy: false,
             is_standby: false,
             configuration_expiry: Micros::MAX,
--- a/crates/core/src/core/configuration.rs
+++ b/crates/core/src/core/configuration.rs
@@ -21,10 +21,15 @@
             return;
         }
         self.settings.is_cold |= is_cold;
-        self.admission.start(self.controller_settings());
+        let mut settings = self.controller_settings();
+        if let Some(notice) = self.shutdown {
+            notice.adapt(now, &mut settings);
+        }
+        self.admission.start(settings);
         // The controller counts the warm-up time from its first step.
         self.step(processor_started_at.min(now), &[]);
         self.step(now, &[]);
+        self.pass_shutdown_notice(now);
     }
 
     /// Replaces the settings. Returns whether the controller's settings or the active classes have
--- a/crates/core/src/core/mod.rs
+++ b/crates/core/src/core/mod.rs
@@ -31,6 +31,7 @@
 use crate::timers::TimerQueue;
 use pipitlever_admission::{Micros, Settings};
 use pipitlever_capture::recorder::Recorder;
+use shutdown::ShutdownNotice;
 use std::rc::Rc;
 
 /// Lower limit of the configured interval between two calls of one request.
@@ -50,6 +51,8 @@
     timers: TimerQueue,
     gauges: GaugeSource,
     availability: Availability,
+    /// The shutdown notice, if it was received.
+    shutdown: Option<ShutdownNotice>,
     /// Effects that the drivers have not taken yet, in order.
     effects: Vec<Effect>,
     /// The shortest interval between two calls of one request.
@@ -91,6 +94,7 @@
             store: None,
             timers: TimerQueue::default(),
             gauges: GaugeSource::processor(),
+            shutdown: None,
             effects: Vec::new(),
             call_interval: call_interval.max(MIN_CALL_INTERVAL),
             retries_are_marked: false,
--- a/crates/core/src/core/status.rs
+++ b/crates/core/src/core/status.rs
@@ -34,11 +34,6 @@
         self.availability.load_level
     }
 
-    /// Replaces the load level that is sent with every answer, and returns the previous one.
-    pub fn replace_load_level(&mut self, level: Option<f64>) -> Option<f64> {
-        std::mem::replace(&mut self.availability.load_level, level)
-    }
-
     /// Whether health checks of the node pass.
     pub fn is_healthy(&self) -> bool {
         self.availability.passes_health_checks(self.now)
--- a/crates/node/src/net/event_loop/shutdown.rs
+++ b/crates/node/src/net/event_loop/shutdown.rs
@@ -24,8 +24,6 @@
     phase: ShutdownPhase,
     /// Whether another process of the node has replaced this one.
     is_replaced: bool,
-    /// The load level that is advertised from [`ShutdownPhase::Closing`] on.
-    final_load_level: Option<f64>,
 }
 
 impl ShutdownState {
@@ -50,17 +48,14 @@
     pub fn begin_drain(&mut self, remaining: Micros) {
         self.shutdown.phase = ShutdownPhase::Draining;
         self.shutdown_started.notify();
-        // The core's level for shutdown, which keeps clients away, is advertised only from
-        // `send_goaway` on: requests are still served until then.
-        let previous = self.core.load_level();
         self.with_core(|core, now| core.begin_shutdown(now, remaining));
-        self.shutdown.final_load_level = self.core.replace_load_level(previous);
     }
 
     /// Sends `goaway` to all gateways, so that they send no new requests.
     pub fn send_goaway(&mut self) {
         self.shutdown.phase = ShutdownPhase::Closing;
-        self.core.replace_load_level(self.shutdown.final_load_level);
+        // Only now are clients kept away: until here requests were served.
+        self.core.advertise_shutdown();
         self.send_goaway_to_gateways();
     }
 
--- a/crates/node/tests/rules.rs
+++ b/crates/node/tests/rules.rs
@@ -487,6 +487,28 @@
     );
 }
 
+/// Guards against requests without an answer when SIGTERM comes before the processor is up: the
+/// node then starts them, and has to answer them before it ends.
+#[test]
+fn a_drain_that_begins_before_the_processor_is_up_answers_all_requests() {
+    let mut processor = Processor::new();
+    let entries = json!({"processor": processor.address().to_string(), "stop_ms": 2000});
+    let mut node = Node::start(entries, None);
+    let mut gateway = node.gateway();
+    processor.accept();
+    node.signal("-TERM");
+    node.wait_for_line("draining: ");
+    processor.send(b"hi starting 0\r\n");
+    assert!(processor.answer_usage(0), "the node has read the hello");
+    gateway.send("alive", json!({}));
+    assert_eq!(gateway.receive()["result"]["healthy"], false);
+    gateway.send("rota-view", request_params(10000, None, b""));
+    processor.begin();
+    assert_eq!(gateway.receive()["method"], "goaway");
+    assert!(code(&gateway.receive()) < -32000);
+    assert!(node.wait().success());
+}
+
 #[test]
 fn bad_input_gets_its_error_and_affects_no_other_request() {
     let (node, mut processor, mut good) = start_node(json!({}));
