Serve a uwsgi address of the predecessor alone until the predecessor exits

Cause: the predecessor stops accepting on all its sockets when it yields. The successor dropped the passed sockets that its configuration does not have, so nobody accepted on them, and the system went on to complete connections.

Change: the successor keeps these sockets, accepts on them from the takeover on and closes them after the predecessor's exit. The messages between the two are unchanged, so versions before and after can replace each other. FrontSocket takes the place of the tuple FrontListener.

--- a/crates/node/src/lifecycle/sockets.rs
+++ b/crates/node/src/lifecycle/sockets.rs
@@ -4,12 +4,14 @@
 use crate::config::platform::Config;
 use crate::log::log;
 use crate::net::connections::Front;
-use crate::net::hot_restart::{self, AdoptedSockets, FrontListener, PredecessorConnection};
+use crate::net::front::FrontSocket;
+use crate::net::hot_restart::{self, AdoptedSockets, PredecessorConnection};
 use crate::net::{after_ms, membership};
 use pipitlever_reactor::{Async, Timer};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Instant;
 
 /// How long to wait for an address that is in use, in milliseconds: a process that drains listens
@@ -22,8 +24,9 @@
 pub struct OpenedSockets {
     /// The process that this one replaces, if there is one.
     pub predecessor: Option<PredecessorConnection>,
-    /// The front ends' listeners, with that of the gateways first.
-    pub fronts: Vec<FrontListener>,
+    /// The front ends' sockets, with that of the gateways first, and after them those that only the
+    /// predecessor's configuration has.
+    pub fronts: Vec<FrontSocket>,
     /// The sockets of the membership protocol, if this node is in a fleet.
     pub membership: Option<membership::Sockets>,
     /// The control endpoint's address and listener, if it is configured.
@@ -44,7 +47,7 @@
                 (Some(*predecessor), passed)
             }
             GatewayAddress::Bound(listener) => {
-                let fronts = vec![(Front::Gateway, config.listen, listener)];
+                let fronts = vec![configured_socket(Front::Gateway, config.listen, listener)];
                 let passed = AdoptedSockets {
                     fronts,
                     membership: None,
@@ -106,11 +109,26 @@
     }
 }
 
-/// The configured front ends' listeners, passed on or bound.
+/// A socket that this process has bound.
+fn configured_socket(
+    front: Front,
+    address: SocketAddr,
+    listener: Async<TcpListener>,
+) -> FrontSocket {
+    FrontSocket {
+        front,
+        address,
+        listener: Rc::new(listener),
+        is_configured: true,
+    }
+}
+
+/// The configured front ends' sockets, passed on or bound, and then the other ones that were passed
+/// on: clients that know only the predecessor's address are served there until its exit.
 async fn open_fronts(
     config: &Config,
-    mut passed: Vec<FrontListener>,
-) -> Result<Vec<FrontListener>, String> {
+    mut passed: Vec<FrontSocket>,
+) -> Result<Vec<FrontSocket>, String> {
     let mut configured = vec![(Front::Gateway, config.listen)];
     configured.extend(
         config
@@ -119,19 +137,26 @@
             .listen
             .map(|at| (Front::Uwsgi, at)),
     );
-    let mut listeners = Vec::new();
+    let mut sockets = Vec::new();
     for (front, address) in configured {
-        let is_match = |(f, a, _): &FrontListener| (*f, *a) == (front, address);
+        let is_match = |socket: &FrontSocket| (socket.front, socket.address) == (front, address);
         if let Some(position) = passed.iter().position(is_match) {
-            let (_, _, listener) = passed.swap_remove(position);
-            listeners.push((front, local_address(&listener)?, listener));
+            let listener = passed.swap_remove(position).listener;
+            sockets.push(FrontSocket {
+                front,
+                address: local_address(&listener)?,
+                listener,
+                is_configured: true,
+            });
             continue;
         }
         let bound = bind_when_free(|| Async::<TcpListener>::bind(address)).await;
         let listener = bound.map_err(|e| format!("cannot listen on {address}: {e}"))?;
-        listeners.push((front, local_address(&listener)?, listener));
+        let address = local_address(&listener)?;
+        sockets.push(configured_socket(front, address, listener));
     }
-    Ok(listeners)
+    sockets.append(&mut passed);
+    Ok(sockets)
 }
 
 /// The membership sockets, passed on or bound. Passed sockets that are bound to another address are
--- a/crates/node/src/lifecycle/startup.rs
+++ b/crates/node/src/lifecycle/startup.rs
@@ -7,10 +7,8 @@
 use crate::log::log;
 use crate::net::config_versions::DecidedVersion;
 use crate::net::event_loop::{NodeState, SharedState};
-use crate::net::front::Fronts;
-use crate::net::hot_restart::{
-    self, FailureSignal, FrontListener, PredecessorConnection, SuccessorListener,
-};
+use crate::net::front::{FrontSocket, Fronts};
+use crate::net::hot_restart::{self, FailureSignal, PredecessorConnection, SuccessorListener};
 use crate::net::membership::MembershipDriver;
 use crate::net::{control, ledger, membership, processor, registry, run_core_timer, workers};
 use crate::supervision::{Subsystem, Supervisor};
@@ -54,7 +52,7 @@
 ) -> Result<Services, String> {
     let OpenedSockets {
         predecessor,
-        fronts: listeners,
+        fronts: sockets,
         membership: membership_sockets,
         control: control_listener,
     } = sockets;
@@ -73,9 +71,9 @@
     // Before the core's first event, so that the capture includes it.
     capture.configure(&state, config.capture.clone());
     start_drivers(&supervisor, &state, &config);
-    let restart_socket_path = restart_socket_path(&config, listeners[0].1);
-    log_listeners(&config.name, &listeners);
-    let fronts = Fronts::new(supervisor.clone(), state.clone(), listeners);
+    let restart_socket_path = restart_socket_path(&config, sockets[0].address);
+    log_front_sockets(&config.name, &sockets);
+    let fronts = Fronts::new(supervisor.clone(), state.clone(), sockets);
     let successor_listener = restart_socket_path.map(|path| {
         let name = config.name.clone();
         SuccessorListener::new(
@@ -184,12 +182,17 @@
     hot_restart::socket_path(address)
 }
 
-fn log_listeners(name: &str, listeners: &[FrontListener]) {
-    for (front, address, _) in listeners {
-        let protocol = front.name();
-        log(&format!(
-            "serving: name={name} protocol={protocol} listen={address}"
-        ));
+fn log_front_sockets(name: &str, sockets: &[FrontSocket]) {
+    for socket in sockets {
+        let (protocol, address) = (socket.front.name(), socket.address);
+        log(&if socket.is_configured {
+            format!("serving: name={name} protocol={protocol} listen={address}")
+        } else {
+            format!(
+                "hot restart: address not in the configuration, served until the predecessor \
+                 exits: protocol={protocol} address={address}"
+            )
+        });
     }
 }
 
@@ -238,7 +241,7 @@
     successor_listener: Option<&Rc<SuccessorListener>>,
     join: JoinFleet,
 ) {
-    let (fronts, successor_listener) = (fronts.clone(), successor_listener.cloned());
+    let (opened_fronts, successor_listener) = (fronts.clone(), successor_listener.cloned());
     // `serve` may be called again after the predecessor's end; the fleet is joined once.
     let join = RefCell::new(Some(join));
     let serve = move |passed_state: Option<Vec<u8>>| {
@@ -246,7 +249,7 @@
         if let Some(successor_listener) = &successor_listener {
             successor_listener.open();
         }
-        fronts.open();
+        opened_fronts.open();
         if let Some(join) = join.take() {
             join.join(passed_state);
         }
@@ -255,10 +258,11 @@
         serve(None);
         return;
     };
-    let (state, failure) = (state.clone(), failure.clone());
+    let (state, failure, fronts) = (state.clone(), failure.clone(), fronts.clone());
     let take_over = async move {
-        if let Err(error) = predecessor.take_over(&state, serve).await {
-            failure.report(error);
+        match predecessor.take_over(&state, serve).await {
+            Ok(()) => fronts.close_unconfigured(),
+            Err(error) => failure.report(error),
         }
     };
     supervisor.spawn(Subsystem::HotRestart, take_over).detach();
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -265,6 +265,17 @@
     pub address: SocketAddr,
     /// The socket.
     pub listener: Rc<Async<TcpListener>>,
+    /// Whether this process's configuration has the address. Otherwise the socket was passed on by
+    /// the predecessor, whose clients use it, and is closed after the predecessor's exit.
+    pub is_configured: bool,
+}
+
+/// A task that accepts the connections of a socket.
+struct RunningAcceptor {
+    /// As in [`FrontSocket`].
+    is_configured: bool,
+    /// Stops the task.
+    stop: Notify,
 }
 
 /// The listening sockets of the front ends. They stay open while no connections are accepted.
@@ -272,8 +283,8 @@
     supervisor: Rc<Supervisor>,
     state: SharedState,
     sockets: RefCell<Vec<FrontSocket>>,
-    /// Notifications that stop the running acceptors.
-    stops: RefCell<Vec<Notify>>,
+    /// The running acceptors.
+    acceptors: RefCell<Vec<RunningAcceptor>>,
 }
 
 impl Fronts {
@@ -281,20 +292,13 @@
     pub fn new(
         supervisor: Rc<Supervisor>,
         state: SharedState,
-        sockets: Vec<(Front, SocketAddr, Async<TcpListener>)>,
+        sockets: Vec<FrontSocket>,
     ) -> Rc<Fronts> {
-        let sockets = sockets
-            .into_iter()
-            .map(|(front, address, listener)| FrontSocket {
-                front,
-                address,
-                listener: Rc::new(listener),
-            });
         Rc::new(Fronts {
             supervisor,
             state,
-            sockets: RefCell::new(sockets.collect()),
-            stops: RefCell::default(),
+            sockets: RefCell::new(sockets),
+            acceptors: RefCell::default(),
         })
     }
 
@@ -303,16 +307,21 @@
         self.state.borrow_mut().set_accepting(true);
         for socket in self.sockets.borrow().iter() {
             let stop = Notify::new();
-            self.stops.borrow_mut().push(stop.clone());
-            let acceptor = Acceptor {
-                supervisor: self.supervisor.clone(),
-                state: self.state.clone(),
-                front: socket.front,
-                listener: socket.listener.clone(),
-            };
-            self.supervisor
-                .spawn(Subsystem::Front, acceptor.run(stop))
-                .detach();
+            self.acceptors.borrow_mut().push(RunningAcceptor {
+                is_configured: socket.is_configured,
+                stop: stop.clone(),
+            });
+            let accepting = self.acceptor(socket).run(stop);
+            self.supervisor.spawn(Subsystem::Front, accepting).detach();
+        }
+    }
+
+    fn acceptor(&self, socket: &FrontSocket) -> Acceptor {
+        Acceptor {
+            supervisor: self.supervisor.clone(),
+            state: self.state.clone(),
+            front: socket.front,
+            listener: socket.listener.clone(),
         }
     }
 
@@ -328,8 +337,27 @@
         self.stop_acceptors();
     }
 
+    /// Closes the sockets that only the predecessor's configuration has, once the connections in
+    /// their backlogs are accepted. Called after the predecessor's exit.
+    pub fn close_unconfigured(&self) {
+        let is_unconfigured = |socket: &mut FrontSocket| !socket.is_configured;
+        let mut sockets = self.sockets.borrow_mut();
+        for socket in sockets.extract_if(.., is_unconfigured) {
+            // A successor of this process that accepts in its place was passed the socket, too.
+            if self.state.borrow().is_accepting {
+                self.acceptor(&socket).accept_backlog();
+            }
+        }
+        let mut acceptors = self.acceptors.borrow_mut();
+        for acceptor in acceptors.extract_if(.., |acceptor| !acceptor.is_configured) {
+            acceptor.stop.notify();
+        }
+    }
+
     fn stop_acceptors(&self) {
-        self.stops.take().iter().for_each(Notify::notify);
+        for acceptor in self.acceptors.take() {
+            acceptor.stop.notify();
+        }
     }
 
     /// The sockets, to be passed on to a successor.
--- a/crates/node/src/net/hot_restart/adopted_sockets.rs
+++ b/crates/node/src/net/hot_restart/adopted_sockets.rs
@@ -3,20 +3,19 @@
 use super::error::HotRestartError;
 use super::{MEMBERSHIP_TCP, MEMBERSHIP_UDP};
 use crate::net::connections::Front;
+use crate::net::front::FrontSocket;
 use crate::net::membership::Sockets;
 use pipitlever_hot_restart::message::{ListeningSocket, Welcome};
 use pipitlever_reactor::Async;
 use rustix::fd::OwnedFd;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-
-/// A front end's listening socket.
-pub type FrontListener = (Front, SocketAddr, Async<TcpListener>);
+use std::rc::Rc;
 
 /// The sockets of the front ends and of the membership protocol.
 #[derive(Default)]
 pub struct AdoptedSockets {
-    /// The front ends' listeners.
-    pub fronts: Vec<FrontListener>,
+    /// The front ends' sockets, which are not matched with the configuration yet.
+    pub fronts: Vec<FrontSocket>,
     /// The membership sockets, if the node is in a fleet.
     pub membership: Option<Sockets>,
 }
@@ -58,7 +57,7 @@
     listed: &ListeningSocket,
     socket: OwnedFd,
     listen: SocketAddr,
-) -> Result<FrontListener, HotRestartError> {
+) -> Result<FrontSocket, HotRestartError> {
     let front = Front::from_name(&listed.protocol)
         .ok_or_else(|| HotRestartError::UnknownProtocol(listed.protocol.clone()))?;
     let listener = TcpListener::from(socket);
@@ -67,5 +66,10 @@
         return Err(HotRestartError::AddressMismatch(address));
     }
     let listener = Async::<TcpListener>::new(listener).map_err(HotRestartError::Socket)?;
-    Ok((front, address, listener))
+    Ok(FrontSocket {
+        front,
+        address,
+        listener: Rc::new(listener),
+        is_configured: false,
+    })
 }
--- a/crates/node/src/net/hot_restart/mod.rs
+++ b/crates/node/src/net/hot_restart/mod.rs
@@ -11,7 +11,7 @@
 mod successor_listener;
 mod successor_session;
 
-pub use adopted_sockets::{AdoptedSockets, FrontListener};
+pub use adopted_sockets::AdoptedSockets;
 pub use error::HotRestartError;
 pub use predecessor_connection::{connect_to_predecessor, PredecessorConnection};
 pub use successor_listener::SuccessorListener;
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -10,14 +10,16 @@
 use serde_json::{json, Value};
 use std::io::{IoSlice, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 /// The scratch directory and the listening address that the processes of one node share.
 struct NodeEnvironment {
     folder: ScratchDirectory,
     listen: Value,
+    operator_file: Option<String>,
 }
 
 impl NodeEnvironment {
@@ -27,6 +29,7 @@
         NodeEnvironment {
             folder,
             listen: json!("127.0.0.1:0"),
+            operator_file: None,
         }
     }
 
@@ -36,8 +39,12 @@
         let config = json!({"processor": processor.address().to_string(), "control": "127.0.0.1:0",
             "listen": self.listen, "stop_ms": 5000});
         let tmp = self.folder.0.to_str().unwrap().to_owned();
-        let node =
-            Node::start_with_environment(Path::new(PROGRAM), config, None, &[("TMPDIR", &tmp)]);
+        let node = Node::start_with_environment(
+            Path::new(PROGRAM),
+            config,
+            self.operator_file.as_deref(),
+            &[("TMPDIR", &tmp)],
+        );
         self.listen = json!(node.gateway_address.to_string());
         let control = node.control_endpoint();
         (node, processor, control)
@@ -510,3 +517,34 @@
     assert_eq!(served(&late.receive()), base64(b"once"));
     assert_eq!(control.metric("cfg_accepted"), Some(1));
 }
+
+/// Guards against a uwsgi address of the predecessor alone on which nobody accepts from the
+/// takeover on: its clients' connections stayed in the backlog without an answer.
+#[test]
+fn a_uwsgi_address_of_the_predecessor_alone_is_served_until_its_exit() {
+    let mut environment = NodeEnvironment::new("uwsgi-address");
+    // With port 0 each process has an address of its own.
+    environment.operator_file = Some(uwsgi_operator_file(None, "processor"));
+    let (mut old, _old_processor, _) = environment.start_first();
+    let (new, mut processor, _) = environment.start_successor();
+    assert_ne!(old.uwsgi_address, new.uwsgi_address);
+    for node in [&old, &new] {
+        let client = node.uwsgi_client(&packet("/view", &[], b"body"));
+        let (id, body) = processor.begin();
+        assert_eq!(body, b"body");
+        processor.complete(&id, "fine", b"result");
+        assert_eq!(read_response(client).0, 200);
+    }
+    old.signal("-TERM");
+    assert_eq!(old.wait().code(), Some(0));
+    new.wait_for_line("hot restart: complete");
+    let start = Instant::now();
+    while TcpStream::connect(old.uwsgi_address.unwrap()).is_ok() {
+        assert!(start.elapsed() < TEST_TIMEOUT, "the address stays open");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let client = new.uwsgi_client(&packet("/view", &[], b"body"));
+    let (id, _) = processor.begin();
+    processor.complete(&id, "fine", b"result");
+    assert_eq!(read_response(client).0, 200);
+}
