Keep a replaced process from serving again when its own predecessor exits

Two processes accepted, and the next replacement failed with "Address already in use".

Cause: at the end of its predecessor a successor served if it was not accepting, which is also the state of a process that has yielded.

Change: it serves then only if it has never served. It takes its whole limits back only without a successor of its own (by reading; no test forces that).

Test: a_replaced_process_does_not_serve_again_when_its_predecessor_exits fails on: GET /status of the second process is 200, not 503.

--- a/crates/hot-restart/src/predecessor.rs
+++ b/crates/hot-restart/src/predecessor.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether a successor is connected or has taken over.
+    pub fn has_successor(&self) -> bool {
+        self.phase != Phase::Standalone
+    }
+
     /// Whether the successor may serve. The end of its connection does not show that it has stopped
     /// serving: its process has to exit before [`Predecessor::handle_disconnect`] is called.
     pub fn has_yielded(&self) -> bool {
--- a/crates/node/src/lifecycle/startup.rs
+++ b/crates/node/src/lifecycle/startup.rs
@@ -242,7 +242,7 @@
     join: JoinFleet,
 ) {
     let (opened_fronts, successor_listener) = (fronts.clone(), successor_listener.cloned());
-    // `serve` may be called again after the predecessor's end; the fleet is joined once.
+    // Called once: when the predecessor yields, or after its exit if it has not yielded.
     let join = RefCell::new(Some(join));
     let serve = move |passed_state: Option<Vec<u8>>| {
         // The hot restart's socket first: the predecessor no longer accepts connections on it.
--- a/crates/node/src/net/hot_restart/predecessor_connection.rs
+++ b/crates/node/src/net/hot_restart/predecessor_connection.rs
@@ -188,6 +188,7 @@
                 .peer
                 .wait_for_exit(Some(after_ms(EXIT_TIMEOUT_MS)))
                 .await;
+        let has_served = self.successor.phase() == Phase::Mirror;
         match self.successor.handle_disconnect(has_exited) {
             ConnectionLoss::Abort => return Err(HotRestartError::Disconnected),
             ConnectionLoss::KeysComplete => log("hot restart: complete, the predecessor exited"),
@@ -204,8 +205,13 @@
         state
             .borrow_mut()
             .with_core(|core, now| core.resolve_orphaned_keys(now));
-        state.borrow_mut().set_memory_share(None);
-        if !state.borrow().is_accepting {
+        // A successor of this process may have taken over in the meantime: it serves in this
+        // process's place, and shares the limits with it.
+        let has_successor = state.borrow().hot_restart.predecessor.has_successor();
+        if !has_successor {
+            state.borrow_mut().set_memory_share(None);
+        }
+        if !has_served {
             serve(None);
         }
         Ok(())
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -548,3 +548,42 @@
     processor.complete(&id, "fine", b"result");
     assert_eq!(read_response(client).0, 200);
 }
+
+/// Guards against a process that has been replaced and, when its own predecessor exits after that,
+/// accepts connections and offers the hot restart again, beside the process that replaced it.
+#[test]
+fn a_replaced_process_does_not_serve_again_when_its_predecessor_exits() {
+    let mut environment = NodeEnvironment::new("replaced-twice");
+    let (mut first, mut first_processor, _) = environment.start_first();
+    let mut early = first.ready();
+    early.send("rota-view", request_params(9000, None, b"long"));
+    let (long, _) = first_processor.begin();
+    let (second, _second_processor, second_control) = environment.start_successor();
+    first.signal("-TERM");
+    first.wait_for_line("leaving: ");
+    let (third, mut third_processor, third_control) = environment.start_successor();
+    // The first process exits while the third one serves.
+    first_processor.complete(&long, "fine", b"result");
+    assert_eq!(early.receive()["method"], "goaway");
+    assert_eq!(served(&early.receive()), base64(b"result"));
+    drop(early);
+    assert_eq!(first.wait().code(), Some(0));
+    second.wait_for_line("hot restart: complete");
+    for _ in 0..20 {
+        assert_eq!(second_control.call("GET /status").0, 503);
+        assert_eq!(third_control.call("GET /status").0, 200);
+        let mut gateway = second.gateway();
+        gateway.send("rota-view", request_params(9000, None, b"body"));
+        let (id, _) = third_processor.begin();
+        third_processor.complete(&id, "fine", b"third");
+        assert_eq!(served(&gateway.receive()), base64(b"third"));
+    }
+    // The node's next process replaces the third one.
+    let (_fourth, mut fourth_processor, _) = environment.start_successor();
+    third.wait_for_line("hot restart: yielded");
+    let mut gateway = third.gateway();
+    gateway.send("rota-view", request_params(9000, None, b"body"));
+    let (id, _) = fourth_processor.begin();
+    fourth_processor.complete(&id, "fine", b"fourth");
+    assert_eq!(served(&gateway.receive()), base64(b"fourth"));
+}
