End runs whose start was lost with the processor's connection

Their requests failed at the deadline, their runs stayed open in the core and in the controller's count; after seven of them a node with six cores rejected everything until its restart.

Cause: only a notice about a run ended it, and there is none of a run that the processor never read.

Change: such a run is in doubt like one whose reply may be lost. A notice about it proves that it was started. If it stays silent by the same measure (longer than runs work, no core used by the gauge), it ends as failed once its request is answered. The key stays failed for its window, so that it does not run again if the conclusion is wrong. A rejected start or reply also removes its repetitions. Log line "processor: start lost", gauge edge.runs_in_doubt.

--- a/crates/core/src/core/resend.rs
+++ b/crates/core/src/core/resend.rs
@@ -4,6 +4,7 @@
 use crate::core::Core;
 use crate::effect::{Answer, RejectedCommand, RunOutcome};
 use crate::request::Reference;
+use crate::request_table::OpenRequest;
 use pipitlever_admission::{Event, Idempotency, Micros};
 use pipitlever_capture::record::AnswerSource;
 use std::rc::Rc;
@@ -48,6 +49,26 @@
         }
     }
 
+    /// Whether a run of this request may be in progress.
+    pub fn is_running(&self, reference: Reference) -> bool {
+        self.requests
+            .by_reference(reference)
+            .is_some_and(OpenRequest::is_running)
+    }
+
+    /// Whether the caller of this request still waits for an answer.
+    pub fn is_unanswered(&self, reference: Reference) -> bool {
+        self.requests
+            .by_reference(reference)
+            .is_some_and(|request| request.origin.is_some())
+    }
+
+    /// Ends a run whose start was lost. Its request counts as failed rather than as never run, as
+    /// the loss is concluded from the run's silence.
+    pub fn end_lost_run(&mut self, now: Micros, reference: Reference) {
+        self.handle_run_finished(now, reference, RunOutcome::Failed, 0, Rc::from([]));
+    }
+
     /// Handles a command that the processor rejected. After a rejected start, the request has not
     /// run. A rejected stop has no effect, as the run ended before the processor read the stop.
     pub fn handle_command_rejected(
--- a/crates/core/src/core/wakeups.rs
+++ b/crates/core/src/core/wakeups.rs
@@ -60,12 +60,12 @@
     /// Handles the deadline of a request. The controller normally answers the request in a step; if
     /// it does not, the request fails here.
     fn handle_deadline(&mut self, now: Micros, id: RequestId) {
-        if !self.is_unanswered(id) {
+        if !self.is_id_unanswered(id) {
             return;
         }
         self.step(now, &[]);
         self.process_pending(now);
-        if !self.is_unanswered(id) {
+        if !self.is_id_unanswered(id) {
             return;
         }
         let is_queued = self.requests.get(id).is_some_and(OpenRequest::is_queued);
@@ -80,7 +80,7 @@
         self.notify_controller(now, Event::Abandoned(id));
     }
 
-    fn is_unanswered(&self, id: RequestId) -> bool {
+    fn is_id_unanswered(&self, id: RequestId) -> bool {
         self.requests
             .get(id)
             .is_some_and(|request| request.origin.is_some())
--- a/crates/node/src/net/control/operations.rs
+++ b/crates/node/src/net/control/operations.rs
@@ -131,6 +131,11 @@
         let _ = writeln!(text, "edge.open_requests:{}|g", self.core.unanswered());
         let _ = writeln!(text, "edge.cfg_accepted:{}|c", files.accepted);
         let _ = writeln!(text, "edge.cfg_invalid:{}|c", files.rejected);
+        // Only once there was one, so that the metrics of other nodes stay the same across releases.
+        if self.processor.has_had_doubts() {
+            let runs = self.processor.runs_in_doubt();
+            let _ = writeln!(text, "edge.runs_in_doubt:{runs}|g");
+        }
         // Only after a panic, so that the metrics of other nodes stay the same across releases.
         if self.failures.count() > 0 {
             let _ = writeln!(text, "edge.panics:{}|c", self.failures.count());
--- a/crates/node/src/net/event_loop/processor_notices.rs
+++ b/crates/node/src/net/event_loop/processor_notices.rs
@@ -49,7 +49,9 @@
                     CommandKind::Interrupt => RejectedCommand::Stop,
                     CommandKind::Other => RejectedCommand::Other,
                 };
-                self.processor.handle_command_rejected(reference);
+                if command != RejectedCommand::Stop {
+                    self.processor.handle_command_rejected(reference);
+                }
                 self.with_core(|core, now| core.handle_command_rejected(now, reference, command));
             }
         }
@@ -72,6 +74,9 @@
         let now = self.clock.now();
         self.processor
             .handle_gauge_reply(now, query, gauges.runnable, &mut self.core);
+        for run in self.processor.take_lost_runs() {
+            self.with_core(|core, now| core.end_lost_run(now, run));
+        }
     }
 }
 
--- a/crates/node/src/net/processor.rs
+++ b/crates/node/src/net/processor.rs
@@ -16,7 +16,7 @@
 const CONNECT_TIMEOUT_MS: u64 = 1000;
 /// Shortest time between two attempts to connect, in milliseconds.
 const RECONNECT_INTERVAL_MS: u64 = 50;
-/// Time between two gauge queries while replies are in doubt, in milliseconds.
+/// Time between two gauge queries while runs are in doubt, in milliseconds.
 const DOUBT_QUERY_INTERVAL_MS: u64 = 20;
 /// Size of the buffer that notices are read into, in bytes.
 const READ_BUFFER_BYTES: usize = 16384;
@@ -104,12 +104,13 @@
     }
 }
 
-/// Queries the gauges regularly while it is not known whether the processor has read some replies.
+/// Queries the gauges regularly while it is not known whether the processor has read the last
+/// commands of some runs.
 async fn query_while_in_doubt(state: &SharedState) {
-    let reply_in_doubt = state.borrow().processor.reply_in_doubt.clone();
+    let run_in_doubt = state.borrow().processor.run_in_doubt.clone();
     loop {
-        while !state.borrow().processor.has_replies_in_doubt() {
-            reply_in_doubt.wait().await;
+        while state.borrow().processor.runs_in_doubt() == 0 {
+            run_in_doubt.wait().await;
         }
         Timer::at(after_ms(DOUBT_QUERY_INTERVAL_MS)).await;
         state.borrow_mut().processor.query_gauges();
--- a/crates/node/src/net/processor_connection/command.rs
+++ b/crates/node/src/net/processor_connection/command.rs
@@ -52,9 +52,9 @@
         }
     }
 
-    /// Whether this is a reply to a call of this run.
-    pub(super) fn is_reply_to(&self, run: Reference) -> bool {
-        self.command == ProcessorCommand::CallReply(run)
+    /// Whether this is the reply to a call.
+    pub(super) fn is_reply(&self) -> bool {
+        matches!(self.command, ProcessorCommand::CallReply(_))
     }
 
     /// Whether a start or an interrupt may be sent again if the processor may have read it already.
@@ -67,7 +67,7 @@
                 ..
             } => *is_idempotent && core.may_resend_start(*reference),
             ProcessorCommand::Interrupt(reference) => core.may_resend_stop(*reference),
-            // Decided by `UnconfirmedReplies`, as a second reply is not idempotent.
+            // Decided with `RunsInDoubt`, as a second reply is not idempotent.
             ProcessorCommand::CallReply(_) => false,
         }
     }
--- a/crates/node/src/net/processor_connection/mod.rs
+++ b/crates/node/src/net/processor_connection/mod.rs
@@ -3,9 +3,9 @@
 
 mod command;
 mod run_activity;
+mod runs_in_doubt;
 #[cfg(test)]
 mod tests;
-mod unconfirmed_replies;
 
 pub use command::ProcessorCommand;
 
@@ -16,10 +16,10 @@
 use pipitlever_core::{Core, Reference};
 use pipitlever_wire::processor;
 use run_activity::RunActivity;
+use runs_in_doubt::{ProcessorSnapshot, RunsInDoubt};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use unconfirmed_replies::{ProcessorSnapshot, UnconfirmedReplies};
 
 /// A connection is regarded as alive for this time after a reply, in microseconds.
 const ALIVE_WINDOW: Micros = 2000;
@@ -52,10 +52,15 @@
     /// Unconfirmed starts and interrupts of connections that broke, until the current connection
     /// has delivered all notices that the old ones left unread.
     in_doubt: Vec<QueuedCommand>,
-    /// Unconfirmed replies of connections that broke.
-    replies_in_doubt: UnconfirmedReplies,
-    /// Notified when a reply comes into doubt.
-    pub reply_in_doubt: Notify,
+    /// Runs whose last command was unconfirmed when its connection broke, and may not simply be
+    /// sent again.
+    runs_in_doubt: RunsInDoubt,
+    /// Notified when a run comes into doubt.
+    pub run_in_doubt: Notify,
+    /// Number of runs that have come into doubt.
+    runs_in_doubt_count: u64,
+    /// Runs whose start was lost and whose requests are answered.
+    lost_runs: Vec<Reference>,
     /// What the runs at the processor are known to be doing.
     activity: RunActivity,
     /// Whether notices of old connections may still arrive on the current one.
@@ -84,8 +89,10 @@
             queue: VecDeque::new(),
             unconfirmed: Vec::new(),
             in_doubt: Vec::new(),
-            replies_in_doubt: UnconfirmedReplies::default(),
-            reply_in_doubt: Notify::new(),
+            runs_in_doubt: RunsInDoubt::default(),
+            run_in_doubt: Notify::new(),
+            runs_in_doubt_count: 0,
+            lost_runs: Vec::new(),
             activity: RunActivity::default(),
             is_catching_up: false,
             last_query: 0,
@@ -139,9 +146,8 @@
     }
 
     /// Whether queued commands may be written; otherwise a query alone has to be answered first.
-    /// The start of a run that is not idempotent is never written to a connection that may have broken since its
-    /// last reply: a lost start cannot be distinguished from one that was read, and cannot be sent
-    /// again.
+    /// The start of a run that is not idempotent is never written to a connection that may have
+    /// broken since its last reply: a lost start cannot be sent again, as it may have been read.
     fn may_write_commands(&self, now: Micros) -> bool {
         let starts_unrepeatable_run = self.queue.iter().any(|queued| {
             matches!(
@@ -173,62 +179,104 @@
         self.last_reply = now;
         self.unconfirmed.clear();
         if std::mem::take(&mut self.is_catching_up) {
-            self.requeue_in_doubt(core);
+            self.requeue_in_doubt(now, core);
         }
-        self.requeue_lost_replies(runnable, core);
+        self.conclude_doubts(runnable, core);
         self.changed.notify();
     }
 
-    /// Queues those starts and interrupts in doubt that may be sent again, ahead of all others.
-    /// Called once the new connection has delivered all notices of the old ones.
-    fn requeue_in_doubt(&mut self, core: &Core) {
+    /// Queues those starts and interrupts in doubt that may be sent again, ahead of all others. The
+    /// runs of the other starts stay in doubt. Called once the new connection has delivered all
+    /// notices of the old ones.
+    fn requeue_in_doubt(&mut self, now: Micros, core: &Core) {
         for command in std::mem::take(&mut self.in_doubt).into_iter().rev() {
             if command.may_resend(core) {
                 self.queue.push_front(command);
+                continue;
+            }
+            let run = command.working_run().filter(|run| core.is_running(*run));
+            if let Some(run) = run {
+                self.add_run_in_doubt(now, run, command);
             }
         }
     }
 
-    /// Queues those replies in doubt that the processor has not read, ahead of all other commands.
-    fn requeue_lost_replies(&mut self, runnable: Option<f64>, core: &mut Core) {
-        if self.replies_in_doubt.is_empty() {
+    fn add_run_in_doubt(&mut self, now: Micros, run: Reference, command: QueuedCommand) {
+        self.runs_in_doubt.add(now, run, command);
+        self.runs_in_doubt_count += 1;
+        self.run_in_doubt.notify();
+    }
+
+    /// Handles the runs that have not read their last command: a reply is queued again, ahead of
+    /// all other commands. A start is not, since the proof is not certain enough for a second run;
+    /// its run ends once its request is answered.
+    fn conclude_doubts(&mut self, runnable: Option<f64>, core: &mut Core) {
+        if self.runs_in_doubt.is_empty() {
             return;
         }
         let snapshot = ProcessorSnapshot {
             queried_at: self.last_query_at,
             runnable,
         };
-        for lost in self.replies_in_doubt.take_lost(snapshot, &self.activity) {
-            if core.may_resend_reply(lost.run) {
-                let silent_ms = lost.silence / 1000;
+        let silent = self
+            .runs_in_doubt
+            .take_silent(snapshot, &self.activity, |in_doubt| {
+                in_doubt.command.is_reply() || !core.is_unanswered(in_doubt.run)
+            });
+        for in_doubt in silent {
+            let (run, silent_ms) = (in_doubt.run, in_doubt.silence(snapshot) / 1000);
+            if !in_doubt.command.is_reply() {
                 log(&format!(
-                    "processor: reply sent again ref={:016x} silent_ms={silent_ms}",
-                    lost.run
+                    "processor: start lost ref={run:016x} silent_ms={silent_ms}"
                 ));
-                self.queue.push_front(lost.command);
+                self.lost_runs.push(run);
+            } else if core.may_resend_reply(run) {
+                log(&format!(
+                    "processor: reply sent again ref={run:016x} silent_ms={silent_ms}"
+                ));
+                self.queue.push_front(in_doubt.command);
             }
         }
     }
 
-    /// Whether the processor may not have read some replies, so that gauges are needed to decide
-    /// whether to send them again.
-    pub fn has_replies_in_doubt(&self) -> bool {
-        !self.replies_in_doubt.is_empty()
+    /// Takes the runs whose start was lost and whose requests are answered, so that they can be
+    /// ended.
+    pub fn take_lost_runs(&mut self) -> Vec<Reference> {
+        std::mem::take(&mut self.lost_runs)
+    }
+
+    /// Number of runs of which it is not known whether the processor has read their last command.
+    /// Gauges are needed to find out.
+    pub fn runs_in_doubt(&self) -> usize {
+        self.runs_in_doubt.len()
+    }
+
+    /// Whether any run has been in doubt since the start.
+    pub fn has_had_doubts(&self) -> bool {
+        self.runs_in_doubt_count > 0
     }
 
-    /// Handles a notice that a run has requested a call or has ended: it waits for no earlier
-    /// reply, so none may be sent to it any more. Called before the notice is passed to the core.
+    /// Handles a notice that a run has requested a call or has ended. It has read its start and
+    /// waits for no earlier reply, so neither may be sent to it any more. Called before the notice
+    /// is passed to the core.
     pub fn handle_work_ended(&mut self, now: Micros, run: Reference) {
         self.activity.end_work(now, run);
-        self.replies_in_doubt.remove(run);
-        let is_stale = |queued: &QueuedCommand| queued.is_reply_to(run);
-        self.queue.retain(|queued| !is_stale(queued));
-        self.unconfirmed.retain(|queued| !is_stale(queued));
+        self.forget_commands(run);
     }
 
-    /// Handles the rejection of a command: its run is not known to work.
+    /// Handles the rejection of a start or a reply: the run does not wait for either.
     pub fn handle_command_rejected(&mut self, run: Reference) {
         self.activity.forget(run);
+        self.forget_commands(run);
+    }
+
+    /// Removes the start of a run and replies to it, wherever they are.
+    fn forget_commands(&mut self, run: Reference) {
+        let is_other = |queued: &QueuedCommand| queued.working_run() != Some(run);
+        self.queue.retain(is_other);
+        self.unconfirmed.retain(is_other);
+        self.in_doubt.retain(is_other);
+        self.runs_in_doubt.remove(run);
     }
 
     /// Whether the connection can be closed: the processor's address has changed, and the processor
@@ -264,10 +312,7 @@
             self.activity.forget(run);
         }
         match command.command {
-            ProcessorCommand::CallReply(run) => {
-                self.replies_in_doubt.add(now, run, command);
-                self.reply_in_doubt.notify();
-            }
+            ProcessorCommand::CallReply(run) => self.add_run_in_doubt(now, run, command),
             _ => self.in_doubt.push(command),
         }
     }
--- a/crates/node/src/net/processor_connection/unconfirmed_replies.rs
+++ b/crates/node/src/net/processor_connection/runs_in_doubt.rs
@@ -1,9 +1,10 @@
-//! Replies to calls that a broken connection may have lost.
+//! Runs whose last command, a start or the reply to a call, a broken connection may have lost.
 //!
 //! The processor's protocol names no call in a reply: a reply that is sent twice is taken for the
-//! reply to the run's next call if the run has requested that call in the meantime. A reply is
-//! therefore sent again only if the run still waits for it. A run that has read the reply works, and
-//! then reports its next call or its end; one that has not is silent, and uses no core.
+//! reply to the run's next call if the run has requested that call in the meantime. A start that is
+//! sent twice may run twice. Whether the command was lost is therefore concluded from its run: one
+//! that has read it works, and then reports its next call or its end; one that has not read it is
+//! silent and uses no core.
 
 use super::command::QueuedCommand;
 use super::run_activity::RunActivity;
@@ -27,47 +28,61 @@
     pub(super) runnable: Option<f64>,
 }
 
-/// A reply that the processor may not have read.
+/// A run whose last command may have been lost.
 #[derive(Debug)]
-struct UnconfirmedReply {
-    run: Reference,
-    command: QueuedCommand,
-    /// When the connection after the broken one was established. Since then the processor has not
-    /// read the reply.
+pub(super) struct RunInDoubt {
+    pub(super) run: Reference,
+    /// The start of the run, or the reply to its call.
+    pub(super) command: QueuedCommand,
+    /// A time since which the processor can't have read the command: the connection after the
+    /// broken one was established.
     reconnected_at: Micros,
 }
 
-/// The replies of broken connections about whose runs no notice has arrived since.
+impl RunInDoubt {
+    /// How long the run has been silent by this snapshot, in microseconds.
+    pub(super) fn silence(&self, snapshot: ProcessorSnapshot) -> Micros {
+        snapshot.queried_at - self.reconnected_at
+    }
+}
+
+/// The runs in doubt, about which no notice has arrived since their connection broke.
 #[derive(Debug, Default)]
-pub(super) struct UnconfirmedReplies(Vec<UnconfirmedReply>);
+pub(super) struct RunsInDoubt(Vec<RunInDoubt>);
 
-impl UnconfirmedReplies {
-    /// Adds a reply to a call of `run` that a connection may have lost, on the next connection.
+impl RunsInDoubt {
+    /// Adds a run whose last command may have been lost, on the next connection.
     pub(super) fn add(&mut self, now: Micros, run: Reference, command: QueuedCommand) {
-        self.0.push(UnconfirmedReply {
+        self.0.push(RunInDoubt {
             run,
             command,
             reconnected_at: now,
         });
     }
 
-    /// Removes the reply of a run that has requested another call or has ended.
+    /// Removes a run about which a notice has arrived.
     pub(super) fn remove(&mut self, run: Reference) {
-        self.0.retain(|reply| reply.run != run);
+        self.0.retain(|in_doubt| in_doubt.run != run);
+    }
+
+    /// Number of runs in doubt.
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
     }
 
-    /// Whether there are no such replies.
+    /// Whether there are none.
     pub(super) fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 
-    /// Removes and returns the replies whose runs still wait for them by this snapshot, with the
-    /// time for which each run has been silent.
-    pub(super) fn take_lost(
+    /// Removes and returns those runs that satisfy a condition and have not read their last command
+    /// by this snapshot.
+    pub(super) fn take_silent(
         &mut self,
         snapshot: ProcessorSnapshot,
         activity: &RunActivity,
-    ) -> Vec<LostReply> {
+        condition: impl Fn(&RunInDoubt) -> bool,
+    ) -> Vec<RunInDoubt> {
         // The gauge also counts other uses of the cores, so that it never shows too few runs.
         let only_others_work = snapshot
             .runnable
@@ -78,25 +93,9 @@
         } else {
             longest_work_time * SLOWDOWN_FACTOR
         };
-        let is_lost = |reply: &mut UnconfirmedReply| {
-            snapshot.queried_at - reply.reconnected_at >= longest_silence
+        let is_silent = |in_doubt: &mut RunInDoubt| {
+            in_doubt.silence(snapshot) >= longest_silence && condition(in_doubt)
         };
-        self.0
-            .extract_if(.., is_lost)
-            .map(|reply| LostReply {
-                run: reply.run,
-                command: reply.command,
-                silence: snapshot.queried_at - reply.reconnected_at,
-            })
-            .collect()
+        self.0.extract_if(.., is_silent).collect()
     }
 }
-
-/// A reply that was lost.
-#[derive(Debug)]
-pub(super) struct LostReply {
-    pub(super) run: Reference,
-    pub(super) command: QueuedCommand,
-    /// How long the run has been silent, in microseconds.
-    pub(super) silence: Micros,
-}
--- a/crates/node/src/net/processor_connection/tests.rs
+++ b/crates/node/src/net/processor_connection/tests.rs
@@ -195,7 +195,7 @@
     node.answer_query(0.0);
     node.request_call(1);
     assert!(node.written().is_empty());
-    assert!(!node.processor.has_replies_in_doubt());
+    assert_eq!(node.processor.runs_in_doubt(), 0);
 }
 
 /// Guards against a reply that is lost with the second of two connections.
@@ -224,5 +224,5 @@
     node.request_call(1);
     node.processor.handle_disconnect();
     node.processor.handle_hello(node.now);
-    assert!(!node.processor.has_replies_in_doubt());
+    assert_eq!(node.processor.runs_in_doubt(), 0);
 }
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -518,7 +518,7 @@
     assert_eq!(control.metric("cfg_accepted"), Some(1));
 }
 
-/// Guards against a uwsgi address of the predecessor alone on which nobody accepts from the
+/// Guards against a uwsgi address of the predecessor alone on which no process accepts from the
 /// takeover on: its clients' connections stayed in the backlog without an answer.
 #[test]
 fn a_uwsgi_address_of_the_predecessor_alone_is_served_until_its_exit() {
--- a/crates/node/tests/repeats.rs
+++ b/crates/node/tests/repeats.rs
@@ -323,3 +323,52 @@
     }
     drop(node);
 }
+
+/// Guards against runs whose start was lost with a connection, which must not be sent again, and
+/// that hold their place for ever: after as many losses as runs fit on the cores, everything was
+/// rejected.
+#[test]
+fn runs_whose_start_was_lost_give_their_place_back() {
+    let (node, mut processor, mut gateway) =
+        start_with_short_window(json!({"control": "127.0.0.1:0"}));
+    let control = node.control_endpoint();
+    let mut retry = Value::Null;
+    for round in 0..3 {
+        for i in 0..4 {
+            let key = format!("key-{round}-{i}");
+            retry = request_params(400, Some(&key), b"lost");
+            gateway.send("swap-confirm", retry.clone());
+        }
+        // Once the node has read all, the reply to a query lets it write their starts together.
+        gateway.send("alive", json!({}));
+        assert_eq!(gateway.receive()["result"]["healthy"], true);
+        for _ in 0..4 {
+            processor.begin();
+        }
+        processor.disconnect();
+        processor.accept_running();
+        for _ in 0..4 {
+            assert_ne!(gateway.receive()["error"], Value::Null);
+        }
+        // The runs are silent while the gauges are queried this often.
+        for _ in 0..10 {
+            assert!(processor.answer_usage(0));
+        }
+        assert_eq!(control.metric("runs_in_doubt"), Some(0));
+    }
+    // No key runs again.
+    retry["ref"] = json!("00000000000000ff");
+    retry["dup"] = json!(1);
+    retry["allow"] = json!(6000);
+    gateway.send("swap-confirm", retry);
+    assert!(gateway.receive()["error"]["code"].as_i64().unwrap() < -32000);
+    for _ in 0..4 {
+        gateway.send("rota-view", request_params(6000, None, b"body"));
+    }
+    for _ in 0..4 {
+        let (id, body) = processor.begin();
+        assert_eq!(body, b"body");
+        processor.complete(&id, "fine", b"served");
+        expect_result(&mut gateway, b"served");
+    }
+}
