--- a/crates/node/src/net/session_affinity/mod.rs
+++ b/crates/node/src/net/session_affinity/mod.rs
@@ -2,19 +2,19 @@
 //! `pipitlever-session-affinity` as application messages of the fleet. Runs only if a pool has a
 //! section `[pool.affinity]`.
 
+mod pools;
 mod report;
 
 use crate::net::event_loop::SharedState;
-use crate::net::worker_pools::routes::PoolSettings;
 use async_channel::{Receiver, Sender};
-use pipitlever_load_balancing::pool::MemberMode;
 use pipitlever_membership::members::Member;
 use pipitlever_membership::Membership;
 use pipitlever_session_affinity::directory::{
-    DirectorySettings, Peer, Pool, Resolution, SessionDirectory, SessionKey, WorkerSettings,
+    DirectorySettings, Peer, Resolution, SessionDirectory, SessionKey,
 };
 use pipitlever_session_affinity::message::Message;
 use pipitlever_session_affinity::WorkerId;
+use pools::{affinity_pools, directory_pools, AffinityPool};
 use report::LoggedMoves;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -33,12 +33,6 @@
 /// Flag in the payload of a member that has received all entries of which it is a replica.
 const IS_BOOTSTRAPPED: u8 = 2;
 
-/// A pool with session affinity, and its index among the node's pools.
-struct AffinityPool {
-    index: usize,
-    settings: PoolSettings,
-}
-
 /// The membership view of the last update.
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct LastView {
@@ -352,52 +346,6 @@
     }
 }
 
-/// The pools with session affinity.
-fn affinity_pools(state: &SharedState) -> Vec<AffinityPool> {
-    let state = state.borrow();
-    let pools = state
-        .pools
-        .settings()
-        .enumerate()
-        .filter(|(_, settings)| settings.sessions.is_some())
-        .map(|(index, settings)| AffinityPool {
-            index,
-            settings: settings.clone(),
-        });
-    pools.collect()
-}
-
-fn directory_pools(pools: &[AffinityPool]) -> Vec<Pool> {
-    pools
-        .iter()
-        .filter_map(|pool| directory_pool(&pool.settings))
-        .collect()
-}
-
-/// Converts a pool for the directory. Standby members, which are used only if no other member is
-/// usable, accept no sessions.
-fn directory_pool(settings: &PoolSettings) -> Option<Pool> {
-    let sessions = settings.sessions.as_ref()?;
-    let workers = settings
-        .members
-        .iter()
-        .zip(&settings.labels)
-        .map(|(member, label)| WorkerSettings {
-            name: label.name.clone(),
-            weight: member.weight,
-            accepts_sessions: member.mode == MemberMode::Active && !member.is_standby,
-            is_draining: member.mode == MemberMode::Draining,
-        });
-    Some(Pool {
-        name: settings.name.clone(),
-        previous_names: settings.previous_names.clone(),
-        workers: workers.collect(),
-        idle_timeout_seconds: sessions.idle_timeout_seconds,
-        failure_grace: sessions.failure_grace,
-        drain_grace: sessions.drain_grace,
-    })
-}
-
 /// The other members with a directory replica. Suspected members are included: they are still
 /// probed and receive gossip.
 fn peers(fleet: &Membership) -> Vec<Peer> {
