--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -611,6 +611,15 @@
     unreachable!("the loop ends by an answer or a panic")
 }
 
+/// Ends the clients of a test when it is dropped, also by a panic.
+struct EndClients<'a>(&'a AtomicBool);
+
+impl Drop for EndClients<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Guards against processes that serve beside each other, or none that serves, when replacements
 /// follow each other while earlier processes still end.
 #[test]
@@ -641,6 +650,7 @@
         let clients: Vec<_> = (0..CLIENTS)
             .map(|number| scope.spawn(move || client(number)))
             .collect();
+        let end_clients = EndClients(&is_over);
         for number in 0..REPLACEMENTS {
             // Some replacements begin at once, others when several processes have ended.
             std::thread::sleep(Duration::from_millis(number * 37 % 60));
@@ -650,7 +660,7 @@
             old.signal("-TERM");
             ended.push(old);
         }
-        is_over.store(true, Ordering::SeqCst);
+        drop(end_clients);
         let keys = clients
             .into_iter()
             .flat_map(|client| client.join().unwrap());
