Case 6: a keyed request runs twice after its window was made longer

Seen: a SIGHUP raises memorySpan from 13,023 to 20,049 ms; a second try 16.1 s after the first one runs again, though the node still had the key when it accepted the settings. Checked: with the longer window from the start the second try gets the first result.

--- a/review/stand-ins-2/cases/mod.rs
+++ b/review/stand-ins-2/cases/mod.rs
@@ -1,11 +1,13 @@
 //! The cases, one module each.
 
+mod longer_window;
 
 use crate::{Case, Verdict};
 
 /// Plays the case of this name.
 pub fn play(name: &str, case: &Case) -> Verdict {
     match name {
+        "longer-window" => longer_window::play(case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     }
 }
