--- a/review/stand-ins-2/cases/mod.rs
+++ b/review/stand-ins-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, one module each.
 
 mod longer_window;
+mod second_restart;
 
 use crate::{Case, Verdict};
 
@@ -8,6 +9,7 @@
 pub fn play(name: &str, case: &Case) -> Verdict {
     match name {
         "longer-window" => longer_window::play(case),
+        "second-restart" => second_restart::play(case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     }
 }
