--- a/review/stand-ins-2/cases/mod.rs
+++ b/review/stand-ins-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, one module each.
 
 mod longer_window;
+mod moved_route;
 mod second_restart;
 
 use crate::{Case, Verdict};
@@ -10,6 +11,7 @@
     match name {
         "longer-window" => longer_window::play(case),
         "second-restart" => second_restart::play(case),
+        "moved-route" => moved_route::play(case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     }
 }
