--- a/review/stand-ins-2/cases/mod.rs
+++ b/review/stand-ins-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, one module each.
 
 mod longer_window;
+mod lost_class;
 mod moved_route;
 mod second_restart;
 
@@ -12,6 +13,7 @@
         "longer-window" => longer_window::play(case),
         "second-restart" => second_restart::play(case),
         "moved-route" => moved_route::play(case),
+        "lost-class" => lost_class::play(case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     }
 }
