Case 10: open requests are lost after their class was removed

Seen: eight requests of a removed class in a row close their connection, with six requests open on it that keep their class and whose runs end. Checked: without the SIGHUP all are answered.

--- a/review/stand-ins-2/cases/mod.rs
+++ b/review/stand-ins-2/cases/mod.rs
@@ -3,6 +3,7 @@
 mod longer_window;
 mod lost_class;
 mod moved_route;
+mod removed_class;
 mod second_restart;
 
 use crate::{Case, Verdict};
@@ -14,6 +15,7 @@
         "second-restart" => second_restart::play(case),
         "moved-route" => moved_route::play(case),
         "lost-class" => lost_class::play(case),
+        "removed-class" => removed_class::play(case),
         _ => Verdict::CouldNotRun(format!("no case {name}")),
     }
 }
