Reserve the indexes of unchanged classes before others take free ones

Cause: ClassTable::assign went through the classes in order. The redefined class took the first free index, the one that the returning class had left, and that class then got it as well, unchanged.

Evidence: for a, b, c the assignments were [0, 2, 2]. Both definitions reached the core and the controller; only one name was left in the table.

Why this works: the indexes of unchanged classes are reserved first, so a free index is never one that another class of the file keeps.

--- a/crates/core/src/class_table.rs
+++ b/crates/core/src/class_table.rs
@@ -78,11 +78,23 @@
         is_same: impl Fn(usize, usize) -> bool,
         is_in_use: impl Fn(usize) -> bool,
     ) -> Result<Vec<ClassAssignment>, TooManyClasses> {
-        let mut assignments = Vec::with_capacity(names.len());
+        let previous: Vec<Option<usize>> = names
+            .iter()
+            .map(|name| self.latest_index_of(name))
+            .collect();
+        let unchanged: Vec<Option<usize>> = previous
+            .iter()
+            .enumerate()
+            .map(|(class, previous)| previous.filter(|&index| is_same(index, class)))
+            .collect();
+        // Unchanged classes keep their indexes, so these are reserved before any other class takes
+        // a free one: an unchanged class that was inactive may come later in the configuration.
         let mut assigned = vec![false; self.slots.len()];
-        for (class, name) in names.iter().enumerate() {
-            let previous = self.latest_index_of(name);
-            let unchanged = previous.filter(|&index| is_same(index, class));
+        for &index in unchanged.iter().flatten() {
+            assigned[index] = true;
+        }
+        let mut assignments = Vec::with_capacity(names.len());
+        for (previous, unchanged) in previous.into_iter().zip(unchanged) {
             let is_free = |&index: &usize| {
                 !self.slots[index].is_active && !is_in_use(index) && !assigned[index]
             };
--- a/crates/core/tests/class_table.rs
+++ b/crates/core/tests/class_table.rs
@@ -80,3 +80,99 @@
     assert_eq!(rejected.count(), 1000 - MAX_CLASSES);
     assert!(table.len() <= 2 && table.counters().count() == MAX_CLASSES);
 }
+
+/// Guards against one index for two classes: a changed class took the index of an inactive class
+/// that came back unchanged later in the same configuration, and was then no longer known.
+#[test]
+fn changed_class_does_not_take_the_index_of_a_class_that_returns() {
+    let mut table = ClassTable::new(&names("a b c"));
+    let without_c = names("a b");
+    let assignments = table.assign(&without_c, |_, _| true, |_| false).unwrap();
+    table.apply(&without_c, &assignments);
+    // b comes before c, has changed, and looks for a free index.
+    let all = names("a b c");
+    let assignments = table
+        .assign(&all, |index, _| index != 1, |_| false)
+        .unwrap();
+    assert_eq!(
+        indexes(&assignments),
+        [(0, Some(0)), (3, Some(1)), (2, Some(2))]
+    );
+    table.apply(&all, &assignments);
+    for name in ["a", "b", "c"] {
+        assert!(table.index_of(name).is_some(), "{name} is not known");
+    }
+}
+
+/// A class of a small model: its name, and which of two definitions it has.
+type ModelClass = (&'static str, bool);
+
+/// All ordered lists of distinct classes, each with either definition.
+fn all_configurations() -> Vec<Vec<ModelClass>> {
+    let mut lists: Vec<Vec<ModelClass>> = vec![vec![]];
+    let mut start = 0;
+    for _ in 0..3 {
+        let end = lists.len();
+        for list in start..end {
+            for name in ["a", "b", "c"] {
+                if lists[list].iter().any(|class| class.0 == name) {
+                    continue;
+                }
+                for definition in [false, true] {
+                    let mut longer = lists[list].clone();
+                    longer.push((name, definition));
+                    lists.push(longer);
+                }
+            }
+        }
+        start = end;
+    }
+    lists.retain(|list| !list.is_empty());
+    lists
+}
+
+/// Applies a configuration to a table and checks its assignments. `definitions` are the classes at
+/// each index, `in_use` the index that has open requests.
+fn reconfigure_model(
+    table: &mut ClassTable,
+    definitions: &mut Vec<ModelClass>,
+    configuration: &[ModelClass],
+    in_use: Option<usize>,
+) {
+    let names: Vec<Rc<str>> = configuration.iter().map(|class| class.0.into()).collect();
+    let is_same = |index: usize, class: usize| definitions[index] == configuration[class];
+    let assignments = table
+        .assign(&names, is_same, |index| in_use == Some(index))
+        .unwrap();
+    table.apply(&names, &assignments);
+    for (class, assignment) in configuration.iter().zip(&assignments) {
+        let index = assignment.index;
+        assert_eq!(table.index_of(class.0), Some(index), "{configuration:?}");
+        if index == definitions.len() {
+            definitions.push(*class);
+        }
+        assert!(
+            in_use != Some(index) || definitions[index] == *class,
+            "{configuration:?} redefines {index}, which has open requests"
+        );
+        definitions[index] = *class;
+    }
+    assert_eq!(table.active().len(), configuration.len());
+}
+
+#[test]
+fn every_class_has_an_index_of_its_own_after_any_two_configurations() {
+    let configurations = all_configurations();
+    let initial: Vec<ModelClass> = vec![("a", false), ("b", false), ("c", false)];
+    let names: Vec<Rc<str>> = initial.iter().map(|class| class.0.into()).collect();
+    for first in &configurations {
+        for second in &configurations {
+            for in_use in [None, Some(0), Some(1), Some(2)] {
+                let mut table = ClassTable::new(&names);
+                let mut definitions = initial.clone();
+                reconfigure_model(&mut table, &mut definitions, first, in_use);
+                reconfigure_model(&mut table, &mut definitions, second, in_use);
+            }
+        }
+    }
+}
--- a/crates/node/tests/retune.rs
+++ b/crates/node/tests/retune.rs
@@ -196,6 +196,45 @@
     assert_eq!(control.metric("cfg_invalid"), Some(0));
 }
 
+/// Guards against a class in force that is answered as unknown: two reloads in a row, of which the
+/// second brings a class back and redefines one that stands before it.
+#[test]
+fn a_class_redefined_before_one_that_returns_stays_known_to_both_fronts() {
+    let mut processor = Processor::new();
+    // A route may not lead to a class that a reload removes.
+    let operator_file = uwsgi_operator_file(None, "processor")
+        .replace("class = \"rota-view\"", "class = \"swap-confirm\"");
+    let entries = json!({"processor": processor.address().to_string()});
+    let node = Node::start(entries.clone(), Some(&operator_file));
+    processor.accept_running();
+    let mut gateway = node.ready();
+    let mut config = configuration(&entries);
+    let classes = |config: &Value| config["settings"]["categories"].as_array().unwrap().clone();
+    let [view, mut keyed] = <[Value; 2]>::try_from(classes(&config)).unwrap();
+
+    config["settings"]["categories"] = json!([keyed]);
+    node.reload_text(&config.to_string());
+    node.wait_for_line("reload: done");
+    keyed["worth"] = json!(4.0);
+    config["settings"]["categories"] = json!([keyed, view]);
+    node.reload_text(&config.to_string());
+    node.wait_for_line("reload: done");
+
+    for (class, key) in [("swap-confirm", Some("one")), ("rota-view", None)] {
+        gateway.send(class, request_params(5000, key, b"body"));
+        let (command, _) = processor.command();
+        assert_eq!(command[2], class);
+        processor.complete(&command[1], "fine", b"done");
+        assert_eq!(gateway.receive()["result"]["doc"], base64(b"done"));
+    }
+    let key = [("HTTP_IDEMPOTENCY_KEY", "two")];
+    let client = node.uwsgi_client(&packet("/swap", &key, b"body"));
+    let (command, _) = processor.command();
+    assert_eq!(command[2], "swap-confirm");
+    processor.complete(&command[1], "fine", b"done");
+    assert_eq!(read_response(client).0, 200);
+}
+
 #[test]
 fn a_reload_during_a_drain_has_no_effect() {
     let (mut node, mut processor, mut gateway, _control, mut config) = start_node();
