Extend the windows of known keys when a reload makes their class's window longer

Cause: an entry of the idempotency table had the end of its window as a time from the definition at its arrival, and did not name its class. Core::reconfigure left the entries as they were.

Evidence: the entry was still in the table at the second try; find_duplicate passed over it by its old window_end.

Why this works: an entry names its class and the beginning of its window, so a new configuration can move the end. Windows never become shorter, so no duplicate that was one before stops being one.

Also the time for which entries stay after their window now follows a longer deadline at once.

--- a/crates/core/src/class_table.rs
+++ b/crates/core/src/class_table.rs
@@ -144,6 +144,11 @@
         &self.slots[index].name
     }
 
+    /// Like [`ClassTable::name`], without a copy of the text.
+    pub(crate) fn shared_name(&self, index: usize) -> Rc<str> {
+        self.slots[index].name.clone()
+    }
+
     /// The indexes of the active classes, in ascending order.
     pub fn active(&self) -> Vec<usize> {
         (0..self.slots.len())
--- a/crates/core/src/core/configuration.rs
+++ b/crates/core/src/core/configuration.rs
@@ -5,6 +5,7 @@
 use crate::gauges::GaugeSource;
 use crate::memory_limits::MemoryLimits;
 use pipitlever_admission::{Class, Micros, Settings};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 impl Core {
@@ -33,7 +34,7 @@
     }
 
     /// Replaces the settings. Returns whether the controller's settings or the active classes have
-    /// changed.
+    /// changed. Where a class's window becomes longer, the windows of its keys do as well.
     ///
     /// `assignments` are the indexes of the classes from [`crate::ClassTable::assign`]. Open
     /// requests keep the class that they arrived with. `call_interval` is as in [`Core::new`].
@@ -55,7 +56,16 @@
             }
         }
         let deadlines = classes.iter().map(|class| class.deadline);
-        self.keys.raise_read_delay(deadlines.max().unwrap_or(0));
+        let read_delay = deadlines.max().unwrap_or(0);
+        let windows: HashMap<Rc<str>, Micros> = class_names
+            .iter()
+            .zip(assignments)
+            .map(|(name, assignment)| {
+                let class = &classes[assignment.index];
+                (name.clone(), class.idempotency_window)
+            })
+            .collect();
+        self.keys.apply_windows(&windows, read_delay);
         self.settings = Settings {
             classes,
             is_cold: self.settings.is_cold,
@@ -110,6 +120,14 @@
         &self.settings.classes[index]
     }
 
+    /// The idempotency window of a class in microseconds: that of its definition in force, or of the
+    /// one at this index, under which a request may still be open, if that is longer.
+    pub(super) fn window_in_force(&self, index: usize) -> Micros {
+        let active = self.classes.index_of(self.classes.name(index));
+        let window = |index: usize| self.settings.classes[index].idempotency_window;
+        active.map_or(0, window).max(window(index))
+    }
+
     /// Whether requests of the class at an index are open.
     pub fn is_class_in_use(&self, index: usize) -> bool {
         self.requests
--- a/crates/core/src/core/duplicates.rs
+++ b/crates/core/src/core/duplicates.rs
@@ -3,7 +3,7 @@
 
 use crate::core::Core;
 use crate::effect::Answer;
-use crate::idempotency_table::CachedOutcome;
+use crate::idempotency_table::{CachedOutcome, WindowOrigin};
 use pipitlever_admission::{Event, Micros, Outcome, RequestId};
 use pipitlever_capture::record::AnswerSource;
 use std::rc::Rc;
@@ -24,9 +24,17 @@
         };
         let incoming = &request.incoming;
         if let Some(key) = &incoming.idempotency_key {
-            let window_end = self.now + lifetime;
+            // A waiting duplicate may become a request of its own under the class definition that it
+            // arrived with.
+            let window = self.window_in_force(incoming.class);
+            let window_end = self.now + lifetime.max(window);
+            let window_origin = WindowOrigin {
+                class: self.classes.shared_name(incoming.class),
+                start: self.now,
+            };
             let (digest, arrived_at) = (incoming.payload_digest, incoming.arrived_at);
-            self.keys.retain(key, id, digest, arrived_at, window_end);
+            self.keys
+                .retain(key, id, digest, arrived_at, window_end, window_origin);
         }
     }
 
--- a/crates/core/src/core/durability.rs
+++ b/crates/core/src/core/durability.rs
@@ -8,7 +8,7 @@
 use crate::core::runs::FinishedRun;
 use crate::core::Core;
 use crate::effect::RunOutcome;
-use crate::idempotency_table::{CachedOutcome, RestoredKey};
+use crate::idempotency_table::{CachedOutcome, RestoredKey, WindowOrigin};
 use crate::request::Reference;
 use crate::run_store::{EndedRun, RunStore, StoreUsage};
 use pipitlever_admission::{Micros, RequestId};
@@ -68,6 +68,10 @@
             owner,
             payload_digest: intent.payload_digest,
             window_end,
+            window_origin: Some(WindowOrigin {
+                class: Rc::from(&*intent.class),
+                start: window_end - intent.window,
+            }),
             outcome: Some(outcome),
         });
     }
@@ -95,12 +99,13 @@
     /// Queues the intent of a keyed run for writing; the run is dispatched once the intent is
     /// durable. Returns whether there is a store.
     pub(super) fn write_intent(&mut self, id: RequestId) -> bool {
+        let window = (self.requests.get(id))
+            .map_or(0, |request| self.window_in_force(request.incoming.class));
         let (Some(store), Some(request)) = (&mut self.store, self.requests.get(id)) else {
             return false;
         };
         let incoming = &request.incoming;
         let read_grace = self.keys.read_delay() + STORE_LINGER;
-        let window = self.settings.classes[incoming.class].idempotency_window;
         let intent = Intent {
             // Assigned by the commit queue.
             id: 0,
--- a/crates/core/src/core/hot_restart.rs
+++ b/crates/core/src/core/hot_restart.rs
@@ -117,6 +117,7 @@
             owner,
             payload_digest: entry.payload_digest,
             window_end,
+            window_origin: None,
             outcome,
         });
     }
--- a/crates/core/src/core/runs.rs
+++ b/crates/core/src/core/runs.rs
@@ -80,7 +80,7 @@
         self.classes.counters_mut(incoming.class).forwarded += 1;
         // A duplicate may use the outcome of a keyed run after the deadline of the first caller.
         let result_deadline = if incoming.idempotency_key.is_some() {
-            let window = self.settings.classes[incoming.class].idempotency_window;
+            let window = self.window_in_force(incoming.class);
             request.deadline.max(incoming.arrived_at + window)
         } else {
             request.deadline
--- a/crates/core/src/idempotency_table.rs
+++ b/crates/core/src/idempotency_table.rs
@@ -22,6 +22,15 @@
     },
 }
 
+/// What the end of a key's window follows from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WindowOrigin {
+    /// Name of the key's class, which outlives the class's index.
+    pub(crate) class: Rc<str>,
+    /// When the window began.
+    pub(crate) start: Micros,
+}
+
 /// The entry of one key.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -31,6 +40,9 @@
     pub(crate) payload_digest: u64,
     /// Attempts that reach the machine up to this time are duplicates.
     pub(crate) window_end: Micros,
+    /// The class whose window this is; `None` if the key came from a predecessor that does not send
+    /// it. The window of such a key is not extended by a new configuration.
+    pub(crate) window_origin: Option<WindowOrigin>,
     /// The latest time at which a duplicate can still be read.
     expires_at: Micros,
     /// Whether a run may have been started. The entry is then retained for its whole window.
@@ -49,6 +61,8 @@
     pub(crate) owner: RequestId,
     pub(crate) payload_digest: u64,
     pub(crate) window_end: Micros,
+    /// As in [`Entry::window_origin`].
+    pub(crate) window_origin: Option<WindowOrigin>,
     /// `None` while the key is queued or running in the other process.
     pub(crate) outcome: Option<CachedOutcome>,
 }
@@ -172,6 +186,7 @@
         payload_digest: u64,
         arrived_at: Micros,
         window_end: Micros,
+        window_origin: WindowOrigin,
     ) {
         match self.entries.get(key) {
             Some(entry) if entry.owner == owner => return self.extend(key, window_end),
@@ -185,6 +200,7 @@
             owner,
             payload_digest,
             window_end,
+            window_origin: Some(window_origin),
             expires_at: window_end + self.read_delay,
             is_started: false,
             outcome: None,
@@ -202,6 +218,7 @@
             owner,
             payload_digest,
             window_end,
+            window_origin,
             outcome,
         } = restored;
         self.remove(key);
@@ -209,6 +226,7 @@
             owner,
             payload_digest,
             window_end,
+            window_origin,
             expires_at: window_end + self.read_delay,
             is_started: true,
             outcome,
@@ -243,10 +261,22 @@
         previous
     }
 
-    /// Raises the longest time between the arrival of a duplicate and its being read. Existing
-    /// entries keep their expiry until their window is extended.
-    pub(crate) fn raise_read_delay(&mut self, read_delay: Micros) {
+    /// Applies the windows of a new configuration, by class name, and its longest time between the
+    /// arrival of a duplicate and its being read. No window and no expiry becomes shorter: a client
+    /// may rely on the earlier configuration.
+    pub(crate) fn apply_windows(&mut self, windows: &HashMap<Rc<str>, Micros>, read_delay: Micros) {
         self.read_delay = self.read_delay.max(read_delay);
+        let keys: Vec<Rc<str>> = self.entries.keys().cloned().collect();
+        for key in keys {
+            let entry = &self.entries[&key];
+            let origin = entry.window_origin.as_ref();
+            let new_end =
+                origin.and_then(|origin| Some(origin.start + windows.get(&origin.class)?));
+            let window_end = new_end.map_or(entry.window_end, |end| end.max(entry.window_end));
+            if window_end + self.read_delay > entry.expires_at {
+                self.extend(&key, window_end);
+            }
+        }
     }
 
     /// The longest time between the arrival of a duplicate at the machine and its being read, in
@@ -289,6 +319,9 @@
         };
         self.expiry.remove(&(entry.expires_at, key.clone()));
         entry.window_end = entry.window_end.max(window_end);
+        if let Some(CachedOutcome::Unknown { window_end }) = &mut entry.outcome {
+            *window_end = entry.window_end;
+        }
         entry.expires_at = entry.window_end + self.read_delay;
         self.expiry.insert((entry.expires_at, key.clone()));
         self.record_update(key);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -33,23 +33,38 @@
     MemoryLimits::for_process(192 << 20, 960)
 }
 
-/// A core with a started controller, an idempotent class and a keyed class.
-pub fn core() -> Core {
+/// Settings with an idempotent class and a keyed class, whose window has this length.
+pub fn settings_with_window(idempotency_window: Micros) -> Settings {
     let class = |idempotency| Class {
         latency_objective: 2 * SECOND,
         deadline: 7 * SECOND,
         idempotency,
-        idempotency_window: 20 * SECOND,
+        idempotency_window,
         makes_calls: true,
         ..Class::default()
     };
-    let settings = Settings {
+    Settings {
         classes: vec![class(Idempotency::Idempotent), class(Idempotency::Keyed)],
         cores: 2.0,
         downstream: Downstream::Tier,
         ..Settings::default()
-    };
-    let mut core = core_with(settings, &["free".into(), "keyed".into()], default_limits());
+    }
+}
+
+/// The names of the classes of [`settings_with_window`].
+pub fn class_names() -> [Rc<str>; 2] {
+    ["free".into(), "keyed".into()]
+}
+
+/// A core with a started controller, an idempotent class and a keyed class.
+pub fn core() -> Core {
+    core_with_window(20 * SECOND)
+}
+
+/// Like [`core`], with this window of the keyed class.
+pub fn core_with_window(idempotency_window: Micros) -> Core {
+    let settings = settings_with_window(idempotency_window);
+    let mut core = core_with(settings, &class_names(), default_limits());
     core.start(SECOND, 0, false);
     core
 }
--- a/crates/node/tests/repeats.rs
+++ b/crates/node/tests/repeats.rs
@@ -83,6 +83,30 @@
     expect_result(&mut gateway, b"second");
 }
 
+/// Guards against a second run of a key after SIGHUP has made its window longer, by either front.
+#[test]
+fn a_duplicate_within_a_window_that_became_longer_is_not_run() {
+    const LONGER_WINDOW_MS: u64 = 20_000;
+    let mut settings = configuration(&json!({}))["settings"].clone();
+    settings["categories"][1]["memorySpan"] = json!(WINDOW_MS * 1000);
+    let mut processor = Processor::new();
+    let entries = json!({"processor": processor.address(), "settings": settings});
+    let operator_file = uwsgi_operator_file(None, "processor");
+    let mut node = Node::start(entries, Some(&operator_file));
+    processor.accept_running();
+    let mut gateway = node.ready();
+    let window_end = run_first(&mut processor, &mut gateway);
+    settings["categories"][1]["memorySpan"] = json!(LONGER_WINDOW_MS * 1000);
+    node.reload(json!({"settings": settings}));
+    assert_eq!(node.wait_for_line("reload: "), "reload: done");
+    sleep_until(window_end + 100);
+    gateway.send("swap-confirm", request_params(900, Some("edge"), b"body"));
+    expect_result(&mut gateway, b"first");
+    let key = [("HTTP_IDEMPOTENCY_KEY", "edge")];
+    let (status, text) = node.uwsgi_request(&packet("/swap", &key, b"body"));
+    assert!(status == 200 && text.ends_with("first"), "{text}");
+}
+
 /// The end of a run and a duplicate of its request are pending at once, in either order: one run,
 /// and its result for both.
 #[test]
