Apply the longer window of two processes to transferred keys

Callers could see a key run again after a replacement whose new process has a longer window in its file, or after a SIGHUP whose longer window came once the key had been sent to the successor: the end of the window was transferred as a time, and was not moved afterwards.

The messages named neither the class of a key nor the beginning of its window.

Why this works: version 4 of the hot restart's protocol has a message with both, and a successor takes the later of the two ends; an update of a known key moves its end. The successor asks for a version in its greeting and the predecessor answers in it, so that version 3 is spoken with processes of the build before, in both directions.

Keys that were lost with another process: the time in which they are doubted follows a longer window too (longer_window_applies_to_lost_keys).

With the origin of the window left out, as before, these failed: longer_window_moves_the_retry_advice_of_an_unknown_outcome, longer_window_of_the_successor_applies_to_transferred_keys, successor_is_told_of_a_longer_window and the_longer_window_of_a_successor_applies_to_transferred_keys. All pass now.

a_leftover_socket_or_invalid_peers_do_not_prevent_a_start expected version 3 in each answer; it now expects for each peer the exact version that it has to be answered in, and has one more peer.

--- a/crates/core/src/core/configuration.rs
+++ b/crates/core/src/core/configuration.rs
@@ -3,6 +3,7 @@
 use crate::class_table::ClassAssignment;
 use crate::core::{Core, MIN_CALL_INTERVAL};
 use crate::gauges::GaugeSource;
+use crate::idempotency_table::WindowOrigin;
 use crate::memory_limits::MemoryLimits;
 use pipitlever_admission::{Class, Micros, Settings};
 use std::collections::HashMap;
@@ -71,6 +72,7 @@
             is_cold: self.settings.is_cold,
             ..settings
         };
+        self.extend_lost_keys();
         self.call_interval = call_interval.max(MIN_CALL_INTERVAL);
         if (&self.settings, self.classes.active()) == (&previous.0, previous.1) {
             return false;
@@ -128,6 +130,21 @@
         active.map_or(0, window).max(window(index))
     }
 
+    /// The end of a key's window: `window_end`, or later if the window in force for its class is
+    /// longer than the one that it followed from.
+    pub(super) fn window_end_in_force(
+        &self,
+        origin: Option<&WindowOrigin>,
+        window_end: Micros,
+    ) -> Micros {
+        let in_force = origin.and_then(|origin| {
+            let class = self.classes.index_of(&origin.class)?;
+            let window = self.settings.classes[class].idempotency_window;
+            Some(origin.start.saturating_add(window))
+        });
+        in_force.map_or(window_end, |end| end.max(window_end))
+    }
+
     /// Whether requests of the class at an index are open.
     pub fn is_class_in_use(&self, index: usize) -> bool {
         self.requests
--- a/crates/core/src/core/hot_restart.rs
+++ b/crates/core/src/core/hot_restart.rs
@@ -4,10 +4,10 @@
 
 use crate::core::Core;
 use crate::effect::Answer;
-use crate::idempotency_table::{CachedOutcome, RestoredKey};
+use crate::idempotency_table::{CachedOutcome, RestoredKey, WindowOrigin};
 use pipitlever_admission::Micros;
 use pipitlever_hot_restart::key_authority::UnknownKeyDecision;
-use pipitlever_hot_restart::message::{KeyEntry, KeyState, Message, MAX_RESULT_BYTES};
+use pipitlever_hot_restart::message::{self, KeyEntry, KeyState, Message, MAX_RESULT_BYTES};
 use std::rc::Rc;
 
 /// The largest share of its memory that the controller reserves, as in its memory budget.
@@ -33,11 +33,27 @@
     /// windows of the lost keys end, an unknown key may already have been run there.
     pub fn handle_keys_lost(&mut self, now: Micros) {
         self.keys.record_updates(false);
+        let until = now + self.longest_key_lifetime();
+        self.key_transfer.authority.handle_keys_lost(until);
+        self.key_transfer.keys_lost_at = Some(now);
+    }
+
+    /// Extends the time in which lost keys are expected, after a new configuration has made a window
+    /// longer.
+    pub(super) fn extend_lost_keys(&mut self) {
+        let Some(lost_at) = self.key_transfer.keys_lost_at else {
+            return;
+        };
+        let until = lost_at + self.longest_key_lifetime();
+        self.key_transfer.authority.extend_uncertainty(until);
+    }
+
+    /// The longest time after a run within which a duplicate of it may be read.
+    fn longest_key_lifetime(&self) -> Micros {
         let windows = self.settings.classes.iter().map(|c| c.idempotency_window);
         let longest_window = windows.max().unwrap_or(0);
         // A duplicate that arrived within the window may be read until its caller stops waiting.
-        let until = now + longest_window + self.keys.read_delay();
-        self.key_transfer.authority.handle_keys_lost(until);
+        longest_window + self.keys.read_delay()
     }
 
     /// Whether this process accepts requests with unknown keys.
@@ -72,12 +88,20 @@
             Some(CachedOutcome::Served(_) | CachedOutcome::Failed) => KeyState::Failed,
             Some(CachedOutcome::Unknown { .. }) => KeyState::Unknown,
         };
-        Some(Message::Key(KeyEntry {
+        let transferred = KeyEntry {
             key: key.to_string(),
             payload_digest: entry.payload_digest,
             window_end: entry.window_end.saturating_add(to_unix),
             state,
-        }))
+        };
+        Some(match &entry.window_origin {
+            Some(origin) => {
+                let class = origin.class.to_string();
+                let start = origin.start.saturating_add(to_unix);
+                Message::KeyWithOrigin(transferred, message::WindowOrigin { class, start })
+            }
+            None => Message::Key(transferred),
+        })
     }
 
     /// Whether there are key updates that have not been sent to the successor.
@@ -85,10 +109,26 @@
         self.keys.has_updates()
     }
 
-    /// Applies a key update from the predecessor. `window_end` is the end of the entry's window,
-    /// converted to this process's clock.
-    pub fn apply_transferred_key(&mut self, now: Micros, entry: KeyEntry, window_end: Micros) {
+    /// Applies a key update from the predecessor. `to_unix` is as in [`Core::next_key_update`], for
+    /// this process's clock. The key's window ends when it does at the predecessor, or later if the
+    /// window in force in this process is longer.
+    pub fn apply_transferred_key(
+        &mut self,
+        now: Micros,
+        entry: KeyEntry,
+        origin: Option<message::WindowOrigin>,
+        to_unix: Micros,
+    ) {
         let key: Rc<str> = Rc::from(&*entry.key);
+        let window_origin = origin.map(|origin| WindowOrigin {
+            class: Rc::from(origin.class),
+            start: origin.start.saturating_sub(to_unix),
+        });
+        let window_end = self.window_end_in_force(
+            window_origin.as_ref(),
+            entry.window_end.saturating_sub(to_unix),
+        );
+        self.keys.extend_window(&key, window_end);
         let outcome = match entry.state {
             KeyState::InProgress => None,
             KeyState::Served(result) if result.len() <= self.keys.max_result_bytes() => {
@@ -117,7 +157,7 @@
             owner,
             payload_digest: entry.payload_digest,
             window_end,
-            window_origin: None,
+            window_origin,
             outcome,
         });
     }
--- a/crates/core/src/idempotency_table.rs
+++ b/crates/core/src/idempotency_table.rs
@@ -270,8 +270,8 @@
         for key in keys {
             let entry = &self.entries[&key];
             let origin = entry.window_origin.as_ref();
-            let new_end =
-                origin.and_then(|origin| Some(origin.start + windows.get(&origin.class)?));
+            let new_end = origin
+                .and_then(|origin| Some(origin.start.saturating_add(*windows.get(&origin.class)?)));
             let window_end = new_end.map_or(entry.window_end, |end| end.max(entry.window_end));
             if window_end + self.read_delay > entry.expires_at {
                 self.extend(&key, window_end);
@@ -279,6 +279,13 @@
         }
     }
 
+    /// Moves the end of a key's window, if it becomes later.
+    pub(crate) fn extend_window(&mut self, key: &Rc<str>, window_end: Micros) {
+        if self.window_end(key).is_some_and(|end| end < window_end) {
+            self.extend(key, window_end);
+        }
+    }
+
     /// The longest time between the arrival of a duplicate at the machine and its being read, in
     /// microseconds.
     pub(crate) fn read_delay(&self) -> Micros {
--- a/crates/core/tests/hot_restart/world.rs
+++ b/crates/core/tests/hot_restart/world.rs
@@ -300,9 +300,8 @@
             .handle_message(message)
             .expect("a message that the phase allows")
         {
-            successor::Action::ApplyKey(entry) => {
-                let window_end = entry.window_end;
-                self.new.core.apply_transferred_key(now, entry, window_end);
+            successor::Action::ApplyKey(entry, origin) => {
+                self.new.core.apply_transferred_key(now, entry, origin, 0);
             }
             successor::Action::ReleaseKey(key) => {
                 self.new.core.release_transferred_key(now, &key);
--- a/crates/core/tests/windows.rs
+++ b/crates/core/tests/windows.rs
@@ -4,7 +4,8 @@
 
 use common::*;
 use pipitlever_admission::{Micros, Settings};
-use pipitlever_core::{Core, Reference, RunOutcome};
+use pipitlever_core::{Answer, Core, Reference, RunOutcome};
+use pipitlever_hot_restart::message::{Message, OLDEST_VERSION};
 use std::rc::Rc;
 
 const SHORT: Micros = 13 * SECOND;
@@ -112,3 +113,103 @@
     set_window(&mut core, LONG);
     assert!(!is_run(&mut core, SECOND + LONG, 2));
 }
+
+/// An outcome that no process knows is advised to be retried at the end of the window.
+#[test]
+fn longer_window_moves_the_retry_advice_of_an_unknown_outcome() {
+    let mut core = core_with_window(SHORT);
+    assert!(is_run(&mut core, SECOND, 1));
+    core.freeze_keys();
+    let mut successor = core_with_window(SHORT);
+    transfer_keys(&mut core, &mut successor);
+    successor.resolve_orphaned_keys(SECOND);
+    set_window(&mut successor, LONG);
+    successor.handle_request(2 * SECOND, incoming(2, 2 * SECOND, Some("k")));
+    let retry_after = LONG - SECOND;
+    assert_eq!(
+        answers(&take_effects(&mut successor)),
+        [(2, Answer::Unknown { retry_after })]
+    );
+}
+
+/// Guards against a second run of a key after a replacement whose new process has a longer window.
+#[test]
+fn longer_window_of_the_successor_applies_to_transferred_keys() {
+    for is_finished_before in [true, false] {
+        let mut core = core_with_window(SHORT);
+        assert!(is_run(&mut core, SECOND, 1));
+        if is_finished_before {
+            finish(&mut core, SECOND, 1);
+        }
+        core.freeze_keys();
+        let mut successor = core_with_window(LONG);
+        transfer_keys(&mut core, &mut successor);
+        finish(&mut core, SECOND, 1);
+        transfer_keys(&mut core, &mut successor);
+        assert!(!is_run(&mut successor, SECOND + LONG, 2));
+        assert!(is_run(&mut successor, SECOND + LONG + 1, 3));
+    }
+}
+
+/// Guards against a successor that keeps the window which a key had when it was transferred first.
+#[test]
+fn successor_is_told_of_a_longer_window() {
+    let mut core = core_with_window(SHORT);
+    assert!(is_run(&mut core, SECOND, 1));
+    finish(&mut core, SECOND, 1);
+    core.freeze_keys();
+    let mut successor = core_with_window(SHORT);
+    transfer_keys(&mut core, &mut successor);
+    set_window(&mut core, LONG);
+    transfer_keys(&mut core, &mut successor);
+    assert!(!is_run(&mut successor, SECOND + LONG, 2));
+}
+
+/// A predecessor of an older build sends no origin of a window: its end is taken over.
+#[test]
+fn key_without_an_origin_keeps_the_window_of_its_predecessor() {
+    let mut core = core_with_window(SHORT);
+    assert!(is_run(&mut core, SECOND, 1));
+    finish(&mut core, SECOND, 1);
+    core.freeze_keys();
+    let mut successor = core_with_window(LONG);
+    while let Some(message) = core.next_key_update(0) {
+        apply_key_update(&mut successor, SECOND, message.for_version(OLDEST_VERSION));
+    }
+    assert!(!is_run(&mut successor, SECOND + SHORT, 2));
+    assert!(is_run(&mut successor, SECOND + SHORT + 1, 3));
+}
+
+/// Guards against a run of a key that was lost with another process, after a reload has made the
+/// window longer in which its duplicates may arrive.
+#[test]
+fn longer_window_applies_to_lost_keys() {
+    let mut core = core_with_window(SHORT);
+    core.retries_are_marked = true;
+    core.handle_keys_lost(SECOND);
+    set_window(&mut core, LONG);
+    let mut retry = incoming(1, SECOND + LONG, Some("k"));
+    retry.class = core.classes.index_of("keyed").unwrap();
+    retry.is_retry = true;
+    core.handle_wakeup(SECOND + LONG + 5 * SECOND);
+    core.handle_request(SECOND + LONG + 5 * SECOND, retry);
+    let failed = Answer::Failed { timed_out: false };
+    assert_eq!(answers(&take_effects(&mut core)), [(1, failed)]);
+}
+
+/// Sends all updates of keys to a successor.
+fn transfer_keys(predecessor: &mut Core, successor: &mut Core) {
+    while let Some(message) = predecessor.next_key_update(0) {
+        apply_key_update(successor, SECOND, message);
+    }
+}
+
+/// Applies a message of the predecessor, whose clock is that of the successor.
+fn apply_key_update(successor: &mut Core, now: Micros, message: Message) {
+    let (entry, origin) = match message {
+        Message::Key(entry) => (entry, None),
+        Message::KeyWithOrigin(entry, origin) => (entry, Some(origin)),
+        message => panic!("not a key: {message:?}"),
+    };
+    successor.apply_transferred_key(now, entry, origin, 0);
+}
--- a/crates/hot-restart/src/key_authority.rs
+++ b/crates/hot-restart/src/key_authority.rs
@@ -40,6 +40,11 @@
         self.uncertain_until = self.uncertain_until.max(Some(until));
     }
 
+    /// Moves the end of the time in which duplicates of lost keys may arrive, if it becomes later.
+    pub fn extend_uncertainty(&mut self, until: Micros) {
+        self.uncertain_until = self.uncertain_until.max(Some(until));
+    }
+
     /// Whether the other process may have run an unknown key.
     pub fn is_uncertain(&self, now: Micros) -> bool {
         self.is_remote || self.uncertain_until.is_some_and(|until| now <= until)
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -2,15 +2,22 @@
 //!
 //! Each side first sends a greeting, whose format is the same in every version. Frames follow: a
 //! length of four bytes, little endian, then a [`Message`] in postcard. Postcard is positional, so
-//! the order and types of fields and variants here must not change without a new [`VERSION`].
+//! the order and types of fields and variants here must not change; a new variant at the end needs
+//! a new [`VERSION`].
+//!
+//! The successor's greeting has the version that it asks for, and the predecessor's reply the one
+//! that both use. A predecessor of an older build replies with its own version and closes the
+//! connection; the successor then connects again and asks for that one.
 
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use thiserror::Error;
 
-/// The protocol version. A peer of another version is rejected.
-pub const VERSION: u16 = 3;
+/// The newest version of the protocol: since it, keys are sent with the origin of their window.
+pub const VERSION: u16 = 4;
+/// The oldest version of a peer that is not rejected.
+pub const OLDEST_VERSION: u16 = 3;
 /// Start of a greeting; the version follows (two bytes, little endian).
 const GREETING_MAGIC: &[u8; 6] = b"plhand";
 /// Size of a greeting, in bytes.
@@ -22,6 +29,8 @@
 /// Limit on an idempotency key, in bytes. Listeners accept only far shorter keys; a key above the
 /// limit aborts the hot restart instead of being omitted.
 pub const MAX_KEY_BYTES: usize = 4096;
+/// Limit on the name of a class, in bytes.
+pub const MAX_CLASS_BYTES: usize = 512;
 /// Limit on the membership state of a node, in bytes: its own record and some addresses.
 pub const MAX_MEMBERSHIP_BYTES: usize = 16 << 10;
 /// Limit on a result, in bytes: it fits into a frame with its key.
@@ -53,6 +62,15 @@
     pub state: KeyState,
 }
 
+/// What the end of a key's window follows from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowOrigin {
+    /// Name of the key's class.
+    pub class: String,
+    /// When the window began, in Unix microseconds.
+    pub start: Micros,
+}
+
 /// A listening socket that is passed with [`Welcome`], in the same order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListeningSocket {
@@ -99,13 +117,27 @@
         /// The node's membership state, which the successor adopts; `None` without a fleet.
         membership: Option<Vec<u8>>,
     },
+    /// Predecessor, since version 4: like [`Message::Key`], with the origin of the key's window, so
+    /// that the window in force at the successor applies.
+    KeyWithOrigin(KeyEntry, WindowOrigin),
 }
 
 impl Message {
+    /// The message that stands for this one in a version of the protocol.
+    pub fn for_version(self, version: u16) -> Message {
+        match self {
+            Message::KeyWithOrigin(entry, _) if version < 4 => Message::Key(entry),
+            message => message,
+        }
+    }
+
     /// Whether all sizes and numbers are within their limits.
     fn is_within_limits(&self) -> bool {
         match self {
             Message::Key(entry) => entry.key.len() <= MAX_KEY_BYTES,
+            Message::KeyWithOrigin(entry, origin) => {
+                entry.key.len() <= MAX_KEY_BYTES && origin.class.len() <= MAX_CLASS_BYTES
+            }
             Message::KeyReleased(key) => key.len() <= MAX_KEY_BYTES,
             Message::Yielded {
                 membership: Some(membership),
@@ -122,18 +154,18 @@
     /// The bytes do not start with a greeting of this protocol.
     #[error("the peer does not speak the hot restart protocol")]
     UnknownProtocol,
-    /// The greeting has another version.
-    #[error("the peer speaks version {0}, this process version {VERSION}")]
+    /// The greeting has a version that this process does not speak.
+    #[error("the peer speaks version {0}, this process versions {OLDEST_VERSION} to {VERSION}")]
     UnsupportedVersion(u16),
     /// A frame exceeds a limit, or contains no valid message of this version.
     #[error("malformed message from the peer")]
     Malformed,
 }
 
-/// Returns the greeting that each side sends first.
-pub fn greeting() -> Vec<u8> {
+/// Returns the greeting that each side sends first, with a version.
+pub fn greeting(version: u16) -> Vec<u8> {
     let mut bytes = GREETING_MAGIC.to_vec();
-    bytes.extend_from_slice(&VERSION.to_le_bytes());
+    bytes.extend_from_slice(&version.to_le_bytes());
     bytes
 }
 
@@ -153,7 +185,7 @@
 pub struct Decoder {
     bytes: Vec<u8>,
     consumed: usize,
-    is_greeted: bool,
+    peer_version: Option<u16>,
 }
 
 impl Decoder {
@@ -164,9 +196,9 @@
         self.bytes.extend_from_slice(bytes);
     }
 
-    /// Whether the peer's greeting was decoded.
-    pub fn is_greeted(&self) -> bool {
-        self.is_greeted
+    /// The version in the peer's greeting, once that was decoded.
+    pub fn peer_version(&self) -> Option<u16> {
+        self.peer_version
     }
 
     /// Returns the next message, or `None` until more bytes arrive.
@@ -175,7 +207,7 @@
     ///
     /// [`DecodeError`] if the peer uses another protocol or version, or sent a malformed frame.
     pub fn next_message(&mut self) -> Result<Option<Message>, DecodeError> {
-        if !self.is_greeted && !self.decode_greeting()? {
+        if self.peer_version.is_none() && !self.decode_greeting()? {
             return Ok(None);
         }
         self.decode_frame()
@@ -192,10 +224,10 @@
             return Ok(false);
         };
         let version = u16::from_le_bytes([version[0], version[1]]);
-        if version != VERSION {
+        if !(OLDEST_VERSION..=VERSION).contains(&version) {
             return Err(DecodeError::UnsupportedVersion(version));
         }
-        self.is_greeted = true;
+        self.peer_version = Some(version);
         self.consumed += GREETING_BYTES;
         Ok(true)
     }
--- a/crates/hot-restart/src/successor.rs
+++ b/crates/hot-restart/src/successor.rs
@@ -1,6 +1,6 @@
 //! State machine of the successor: the new process, which serves once the predecessor has yielded.
 
-use crate::message::{KeyEntry, Message, Welcome};
+use crate::message::{KeyEntry, Message, Welcome, WindowOrigin};
 use thiserror::Error;
 
 /// Phase of the hot restart on the successor's side.
@@ -26,8 +26,9 @@
 pub enum Action {
     /// Take over the sockets that were passed with this message.
     AdoptSockets(Welcome),
-    /// Add a key, or replace its state.
-    ApplyKey(KeyEntry),
+    /// Add a key, or replace its state. A predecessor of an older build does not send the origin of
+    /// the key's window.
+    ApplyKey(KeyEntry, Option<WindowOrigin>),
     /// Remove a key: no run of the key was started.
     ReleaseKey(String),
     /// Send [`Message::SnapshotReceived`] and adopt the predecessor's standby state and memory
@@ -116,8 +117,12 @@
                 Ok(Action::AdoptSockets(welcome))
             }
             (Phase::Freeze | Phase::Transfer | Phase::Mirror, Message::Key(entry)) => {
-                Ok(Action::ApplyKey(entry))
+                Ok(Action::ApplyKey(entry, None))
             }
+            (
+                Phase::Freeze | Phase::Transfer | Phase::Mirror,
+                Message::KeyWithOrigin(entry, origin),
+            ) => Ok(Action::ApplyKey(entry, Some(origin))),
             (Phase::Freeze | Phase::Transfer | Phase::Mirror, Message::KeyReleased(key)) => {
                 Ok(Action::ReleaseKey(key))
             }
--- a/crates/hot-restart/tests/compatibility.rs
+++ b/crates/hot-restart/tests/compatibility.rs
@@ -3,11 +3,15 @@
 //! that a process of either build can replace one of the other.
 
 use pipitlever_hot_restart::message::{
-    encode, greeting, Decoder, KeyEntry, KeyState, ListeningSocket, Message, Welcome,
+    encode, greeting, Decoder, KeyEntry, KeyState, ListeningSocket, Message, Welcome, WindowOrigin,
+    OLDEST_VERSION, VERSION,
 };
 
 const FIXTURES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/messages.txt");
 
+const FIXTURES_VERSION_4: &str =
+    concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/messages-4.txt");
+
 fn key(state: KeyState) -> Message {
     Message::Key(KeyEntry {
         key: "key one".into(),
@@ -55,15 +59,34 @@
 
 #[test]
 fn messages_match_those_of_the_earlier_build() {
-    let mut samples = vec![("greeting", greeting())];
+    let mut samples = vec![("greeting", greeting(OLDEST_VERSION))];
     for (name, message) in messages() {
         let mut bytes = Vec::new();
         encode(&message, &mut bytes);
         let mut decoder = Decoder::default();
-        decoder.feed(&greeting());
+        decoder.feed(&greeting(VERSION));
         decoder.feed(&bytes);
         assert_eq!(decoder.next_message(), Ok(Some(message)), "{name}");
         samples.push((name, bytes));
     }
     pipitlever_test_fixtures::assert_bytes(FIXTURES, &samples);
 }
+
+/// What version 4 has added, as its first build wrote it.
+#[test]
+fn messages_of_version_4_stay_as_they_are() {
+    let Message::Key(entry) = key(KeyState::Served(vec![1, 2, 3])) else {
+        unreachable!("a key");
+    };
+    let origin = WindowOrigin {
+        class: "swap-confirm".into(),
+        start: 1_700_000_000_000_000,
+    };
+    let message = Message::KeyWithOrigin(entry.clone(), origin);
+    let mut bytes = Vec::new();
+    encode(&message, &mut bytes);
+    let samples = [("greeting", greeting(4)), ("key-with-origin", bytes)];
+    pipitlever_test_fixtures::assert_bytes(FIXTURES_VERSION_4, &samples);
+    assert_eq!(message.clone().for_version(4), message);
+    assert_eq!(message.for_version(3), Message::Key(entry));
+}
--- a/crates/hot-restart/tests/protocol.rs
+++ b/crates/hot-restart/tests/protocol.rs
@@ -3,7 +3,7 @@
 
 use pipitlever_hot_restart::message::{
     encode, greeting, DecodeError, Decoder, KeyEntry, KeyState, ListeningSocket, Message, Welcome,
-    MAX_KEY_BYTES,
+    WindowOrigin, MAX_CLASS_BYTES, MAX_KEY_BYTES, VERSION,
 };
 use pipitlever_hot_restart::predecessor::{self, Predecessor};
 use pipitlever_hot_restart::successor::{self, ConnectionLoss, Successor, UnexpectedMessage};
@@ -44,9 +44,18 @@
         Message::Yielded {
             membership: Some(vec![7; 40]),
         },
+        key_with_origin("swap".into()),
     ]
 }
 
+/// A key with the origin of its window, in a class of this name.
+fn key_with_origin(class: String) -> Message {
+    let Message::Key(entry) = key(KeyState::Failed) else {
+        unreachable!("a key");
+    };
+    Message::KeyWithOrigin(entry, WindowOrigin { class, start: -2 })
+}
+
 /// Decodes the messages of `chunks`, which arrive one by one.
 fn decode(chunks: &[&[u8]]) -> Result<Vec<Message>, DecodeError> {
     let (mut decoder, mut messages) = (Decoder::default(), Vec::new());
@@ -61,18 +70,18 @@
 
 fn greeting_and_frame(frame: &[u8]) -> Vec<u8> {
     let length = (frame.len() as u32).to_le_bytes();
-    [&greeting()[..], &length, frame].concat()
+    [&greeting(VERSION)[..], &length, frame].concat()
 }
 
 fn greeting_and_message(message: &Message) -> Vec<u8> {
-    let mut bytes = greeting();
+    let mut bytes = greeting(VERSION);
     encode(message, &mut bytes);
     bytes
 }
 
 #[test]
 fn messages_are_decoded_from_chunks_of_any_size() {
-    let mut bytes = greeting();
+    let mut bytes = greeting(VERSION);
     for message in &all_messages() {
         encode(message, &mut bytes);
     }
@@ -99,7 +108,7 @@
         // A frame with trailing bytes, and one beyond the limit.
         (greeting_and_frame(&[1, 0]), Err(DecodeError::Malformed)),
         (
-            [greeting(), u32::MAX.to_le_bytes().to_vec()].concat(),
+            [greeting(VERSION), u32::MAX.to_le_bytes().to_vec()].concat(),
             Err(DecodeError::Malformed),
         ),
         (
@@ -120,6 +129,14 @@
             greeting_and_message(&Message::KeyReleased("k".repeat(MAX_KEY_BYTES + 1))),
             Err(DecodeError::Malformed),
         ),
+        (
+            greeting_and_message(&key_with_origin("c".repeat(MAX_CLASS_BYTES + 1))),
+            Err(DecodeError::Malformed),
+        ),
+        (
+            greeting(VERSION + 1),
+            Err(DecodeError::UnsupportedVersion(VERSION + 1)),
+        ),
     ];
     for (bytes, expected) in cases {
         assert_eq!(decode(&[&bytes]), expected, "{bytes:?}");
@@ -129,7 +146,7 @@
 proptest! {
     #[test]
     fn arbitrary_bytes_do_not_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let _ = decode(&[&[greeting(), bytes].concat()]);
+        let _ = decode(&[&[greeting(VERSION), bytes].concat()]);
     }
 }
 
@@ -283,7 +300,11 @@
         let mut successor = successor_in(phase);
         assert!(matches!(
             successor.handle_message(key(KeyState::InProgress)),
-            Ok(Action::ApplyKey(_))
+            Ok(Action::ApplyKey(_, None))
+        ));
+        assert!(matches!(
+            successor.handle_message(key_with_origin("swap".into())),
+            Ok(Action::ApplyKey(_, Some(_)))
         ));
         assert_eq!(successor.phase(), phase);
     }
--- a/crates/node/src/net/hot_restart/predecessor_connection.rs
+++ b/crates/node/src/net/hot_restart/predecessor_connection.rs
@@ -58,6 +58,7 @@
     listen: SocketAddr,
 ) -> Result<Option<PredecessorConnection>, HotRestartError> {
     let deadline = after_ms(SHUTDOWN_TIMEOUT_MS);
+    let mut version = message::VERSION;
     loop {
         let stream = match UnixStream::connect(path) {
             Ok(stream) => stream,
@@ -80,18 +81,19 @@
             return Err(HotRestartError::OtherUser { path });
         };
         let stream = Async::<UnixStream>::new(stream).map_err(HotRestartError::Socket)?;
-        let receiving = receive_welcome(&stream);
+        let receiving = receive_welcome(&stream, version);
         match timeout_at(after_ms(MESSAGE_TIMEOUT_MS), receiving).await {
-            Some(Ok(Some(received))) => {
+            Some(Ok(Reply::Welcome(received))) => {
                 return received
                     .into_connection(stream, peer, node_name, listen)
                     .map(Some);
             }
+            Some(Ok(Reply::OlderVersion(older))) => version = older,
             // The process is shutting down, has exited, or has another successor.
-            Some(Ok(None)) if Instant::now() < deadline => {
+            Some(Ok(Reply::None)) if Instant::now() < deadline => {
                 Timer::at(after_ms(RECONNECT_INTERVAL_MS)).await;
             }
-            Some(Ok(None)) => return Err(HotRestartError::Rejected),
+            Some(Ok(Reply::None)) => return Err(HotRestartError::Rejected),
             Some(Err(error)) => return Err(error),
             None => return Err(HotRestartError::WelcomeTimeout),
         }
@@ -126,14 +128,24 @@
     }
 }
 
-/// Sends the greeting and receives the welcome; none if the connection ends first.
+/// What a process replies to a successor's greeting.
+enum Reply {
+    Welcome(Box<ReceivedWelcome>),
+    /// The process is of an older build: it has closed the connection, and speaks this version.
+    OlderVersion(u16),
+    /// The connection has ended.
+    None,
+}
+
+/// Sends the greeting with a version, and receives the reply.
 async fn receive_welcome(
     stream: &Async<UnixStream>,
-) -> Result<Option<ReceivedWelcome>, HotRestartError> {
+    version: u16,
+) -> Result<Reply, HotRestartError> {
     let mut successor = Successor::connecting();
     let mut decoder = Decoder::default();
-    if stream.write_all(&message::greeting()).await.is_err() {
-        return Ok(None);
+    if stream.write_all(&message::greeting(version)).await.is_err() {
+        return Ok(Reply::None);
     }
     let (mut bytes, mut sockets) = ([0; WELCOME_BUFFER_BYTES], Vec::new());
     loop {
@@ -142,7 +154,10 @@
             .await
         {
             Ok(length) if length > 0 => decoder.feed(&bytes[..length]),
-            _ => return Ok(None),
+            _ => {
+                let older = decoder.peer_version().filter(|peer| *peer < version);
+                return Ok(older.map_or(Reply::None, Reply::OlderVersion));
+            }
         }
         let Some(message) = decoder.next_message()? else {
             continue;
@@ -150,12 +165,12 @@
         let Action::AdoptSockets(welcome) = successor.handle_message(message)? else {
             return Err(HotRestartError::NoWelcome);
         };
-        return Ok(Some(ReceivedWelcome {
+        return Ok(Reply::Welcome(Box::new(ReceivedWelcome {
             successor,
             decoder,
             welcome,
             sockets,
-        }));
+        })));
     }
 }
 
@@ -291,10 +306,10 @@
 ) {
     match action {
         Action::AdoptSockets(_) => {}
-        Action::ApplyKey(key) => {
+        Action::ApplyKey(key, origin) => {
             let mut state = state.borrow_mut();
-            let window_end = state.clock.unix_to_clock(key.window_end);
-            state.with_core(|core, now| core.apply_transferred_key(now, key, window_end));
+            let to_unix = state.clock.unix_offset();
+            state.with_core(|core, now| core.apply_transferred_key(now, key, origin, to_unix));
         }
         Action::ReleaseKey(key) => {
             state
--- a/crates/node/src/net/hot_restart/successor_session.rs
+++ b/crates/node/src/net/hot_restart/successor_session.rs
@@ -25,16 +25,21 @@
     let mut decoder = Decoder::default();
     let greeting = read_greeting(&mut decoder, &stream);
     let greeted = timeout_at(after_ms(MESSAGE_TIMEOUT_MS), greeting).await;
-    if let Err(reason) = greeted.unwrap_or(Err(SessionEnd::GreetingTimeout)) {
-        // The greeting contains the version, so that a process of another version can report it.
-        let _ = stream.write(&message::greeting()).await;
-        return log(&format!("hot restart: rejected a process: {reason}"));
-    }
+    let version = match greeted.unwrap_or(Err(SessionEnd::GreetingTimeout)) {
+        Ok(version) => version,
+        Err(reason) => {
+            // The greeting contains the version, so that a process of another version can ask for
+            // that one, or report it.
+            let version = decoder.peer_version().unwrap_or(message::VERSION);
+            let _ = stream.write(&message::greeting(version)).await;
+            return log(&format!("hot restart: rejected a process: {reason}"));
+        }
+    };
     if !state.borrow_mut().hot_restart.predecessor.handle_connect() {
         return log("hot restart: rejected a process: another one is the successor already");
     }
     log("hot restart: a successor connected");
-    let writing = write(&listener, &stream);
+    let writing = write(&listener, &stream, version);
     let reading = read(&listener, &mut decoder, &stream);
     let end = future::or(writing, reading).await;
     // Closes the connection, so that a successor that still reads sees its end.
@@ -63,13 +68,17 @@
     }
 }
 
-/// Reads the greeting. The successor may send no message before it has received the welcome.
+/// Reads the greeting, and returns the version that the successor asks for. It may send no message
+/// before it has received the welcome.
 async fn read_greeting(
     decoder: &mut Decoder,
     stream: &Async<UnixStream>,
-) -> Result<(), SessionEnd> {
+) -> Result<u16, SessionEnd> {
     let mut bytes = [0; READ_BUFFER_BYTES];
-    while !decoder.is_greeted() {
+    loop {
+        if let Some(version) = decoder.peer_version() {
+            return Ok(version);
+        }
         match stream.read(&mut bytes).await {
             Ok(length) if length > 0 => decoder.feed(&bytes[..length]),
             _ => return Err(SessionEnd::NoGreeting),
@@ -78,12 +87,15 @@
             return Err(SessionEnd::UnexpectedMessage);
         }
     }
-    Ok(())
 }
 
 /// Sends the welcome with the sockets, and then keys and other messages as they become due.
-async fn write(listener: &SuccessorListener, stream: &Async<UnixStream>) -> SessionEnd {
-    let mut bytes = match send_welcome(listener, stream).await {
+async fn write(
+    listener: &SuccessorListener,
+    stream: &Async<UnixStream>,
+    version: u16,
+) -> SessionEnd {
+    let mut bytes = match send_welcome(listener, stream, version).await {
         Ok(unsent) => unsent,
         Err(end) => return end,
     };
@@ -98,7 +110,7 @@
             None => return SessionEnd::WriteTimeout,
         }
         bytes.clear();
-        while !next_chunk(&listener.state, &mut bytes, &mut sent) {
+        while !next_chunk(&listener.state, version, &mut bytes, &mut sent) {
             transfer_pending.wait().await;
         }
     }
@@ -109,6 +121,7 @@
 async fn send_welcome(
     listener: &SuccessorListener,
     stream: &Async<UnixStream>,
+    version: u16,
 ) -> Result<Vec<u8>, SessionEnd> {
     let sockets = listener.fronts.sockets();
     let membership = listener.state.borrow().membership.clone();
@@ -143,7 +156,7 @@
         sockets: listening,
         salt,
     });
-    let mut bytes = message::greeting();
+    let mut bytes = message::greeting(version);
     message::encode(&welcome, &mut bytes);
     let sending = stream.send_with_descriptors(&bytes, &passed);
     match timeout_at(after_ms(MESSAGE_TIMEOUT_MS), sending).await {
@@ -161,14 +174,19 @@
 
 /// Encodes the messages that are due, with at most about [`CHUNK_BYTES`] of keys. Returns whether
 /// there are any. All keys precede `SnapshotComplete`; later changes of keys follow it.
-fn next_chunk(state: &SharedState, chunk: &mut Vec<u8>, sent: &mut SentMessages) -> bool {
+fn next_chunk(
+    state: &SharedState,
+    version: u16,
+    chunk: &mut Vec<u8>,
+    sent: &mut SentMessages,
+) -> bool {
     let mut state = state.borrow_mut();
     let unix_offset = state.clock.unix_offset();
     while chunk.len() < CHUNK_BYTES {
         let Some(message) = state.core.next_key_update(unix_offset) else {
             break;
         };
-        message::encode(&message, chunk);
+        message::encode(&message.for_version(version), chunk);
     }
     let phase = state.hot_restart.predecessor.phase();
     let has_yielded = state.hot_restart.predecessor.has_yielded();
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -21,6 +21,8 @@
     folder: ScratchDirectory,
     listen: Value,
     operator_file: Option<String>,
+    /// Settings of the next process; `None` for the default ones.
+    settings: Option<Value>,
 }
 
 impl NodeEnvironment {
@@ -31,14 +33,18 @@
             folder,
             listen: json!("127.0.0.1:0"),
             operator_file: None,
+            settings: None,
         }
     }
 
     /// Starts another process, with its own processor, which has not accepted the connection yet.
     fn start(&mut self) -> (Node, Processor, ControlEndpoint) {
         let processor = Processor::new();
-        let config = json!({"processor": processor.address().to_string(), "control": "127.0.0.1:0",
-            "listen": self.listen, "stop_ms": 5000});
+        let mut config = json!({"processor": processor.address().to_string(),
+            "control": "127.0.0.1:0", "listen": self.listen, "stop_ms": 5000});
+        if let Some(settings) = &self.settings {
+            config["settings"] = settings.clone();
+        }
         let tmp = self.folder.0.to_str().unwrap().to_owned();
         let node = Node::start_with_environment(
             Path::new(PROGRAM),
@@ -296,11 +302,13 @@
     let mut environment = NodeEnvironment::new("other-peers");
     let (mut old, _old_processor, _) = environment.start_first();
     let mut gateway = old.ready();
-    for bytes in [
-        &b"GET / HTTP/1.1\r\n\r\n"[..],
-        b"plhand\x07\x00",
-        b"plhand\x03\x00\xff\xff\xff\xff",
-        b"",
+    // Each with the version that it is answered with: the one it asks for, if that is known.
+    for (bytes, version) in [
+        (&b"GET / HTTP/1.1\r\n\r\n"[..], 4),
+        (b"plhand\x07\x00", 4),
+        (b"plhand\x03\x00\xff\xff\xff\xff", 3),
+        (b"plhand\x04\x00\xff\xff\xff\xff", 4),
+        (b"", 4),
     ] {
         let mut stream = UnixStream::connect(environment.socket()).unwrap();
         stream.write_all(bytes).unwrap();
@@ -308,7 +316,10 @@
         stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).unwrap();
-        assert!(answer.starts_with(b"plhand\x03\x00"), "{answer:?}");
+        assert!(
+            answer.starts_with(&message::greeting(version)),
+            "{answer:?}"
+        );
         gateway.send("alive", json!({}));
         assert_eq!(gateway.receive()["result"]["healthy"], true);
     }
@@ -332,7 +343,7 @@
         &[("TMPDIR", environment.folder.0.to_str().unwrap())],
     );
     assert!(
-        code == Some(1) && log.contains("the peer speaks version 9, this process version 3"),
+        code == Some(1) && log.contains("the peer speaks version 9, this process versions 3 to 4"),
         "{code:?} {log}"
     );
 }
@@ -364,6 +375,35 @@
     stream.write_all(&bytes).unwrap();
 }
 
+/// Passes the listening socket of the front end with a welcome in this version.
+fn send_welcome(stream: &UnixStream, listener: &TcpListener, version: u16) {
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let listening = vec![ListeningSocket {
+        protocol: "json-rpc".into(),
+        address: listener.local_addr().unwrap(),
+    }];
+    let mut bytes = message::greeting(version);
+    message::encode(
+        &Message::Welcome(Welcome {
+            node_name: "n1".into(),
+            sockets: listening,
+            salt: [1, 2],
+        }),
+        &mut bytes,
+    );
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    let sent_descriptors = [listener.as_fd()];
+    assert!(control.push(SendAncillaryMessage::ScmRights(&sent_descriptors)));
+    sendmsg(
+        stream,
+        &[IoSlice::new(&bytes)],
+        &mut control,
+        SendFlags::empty(),
+    )
+    .unwrap();
+}
+
 /// The connection can end while both processes run: then the process that has yielded must not
 /// serve as well.
 #[test]
@@ -372,7 +412,9 @@
     let (mut old, _old_processor, control) = environment.start_first();
     let mut stream = UnixStream::connect(environment.socket()).unwrap();
     stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    stream.write_all(&message::greeting()).unwrap();
+    stream
+        .write_all(&message::greeting(message::VERSION))
+        .unwrap();
     let mut reader = Decoder::default();
     receive_until(&mut stream, &mut reader, |m| {
         matches!(m, Message::Welcome(_))
@@ -412,31 +454,7 @@
     let restart_listener = UnixListener::bind(socket).unwrap();
     let predecessor = std::thread::spawn(move || {
         let mut stream = restart_listener.accept().unwrap().0;
-        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-        let listening = vec![ListeningSocket {
-            protocol: "json-rpc".into(),
-            address: at,
-        }];
-        let mut bytes = message::greeting();
-        message::encode(
-            &Message::Welcome(Welcome {
-                node_name: "n1".into(),
-                sockets: listening,
-                salt: [1, 2],
-            }),
-            &mut bytes,
-        );
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut control = SendAncillaryBuffer::new(&mut space);
-        let sent_descriptors = [listener.as_fd()];
-        assert!(control.push(SendAncillaryMessage::ScmRights(&sent_descriptors)));
-        sendmsg(
-            &stream,
-            &[IoSlice::new(&bytes)],
-            &mut control,
-            SendFlags::empty(),
-        )
-        .unwrap();
+        send_welcome(&stream, &listener, message::VERSION);
         receive_until(&mut stream, &mut Decoder::default(), |m| {
             *m == Message::Freeze
         });
@@ -454,6 +472,99 @@
     );
 }
 
+/// Settings in which keys have this window, in milliseconds.
+fn settings_with_window(window_ms: u64) -> Value {
+    let mut settings = configuration(&json!({}))["settings"].clone();
+    settings["categories"][1]["memorySpan"] = json!(window_ms * 1000);
+    settings
+}
+
+/// Guards against a second run of a key at a successor whose configuration has a longer window.
+#[test]
+fn the_longer_window_of_a_successor_applies_to_transferred_keys() {
+    const WINDOW_MS: u64 = 300;
+    let mut environment = NodeEnvironment::new("longer-window");
+    environment.settings = Some(settings_with_window(WINDOW_MS));
+    let (old, mut old_processor, _) = environment.start_first();
+    let mut early = old.ready();
+    early.send("swap-confirm", request_params(250, Some("k"), b"body"));
+    let (id, _) = old_processor.begin();
+    old_processor.complete(&id, "fine", b"once");
+    assert_eq!(served(&early.receive()), base64(b"once"));
+    let ran_at = Instant::now();
+    environment.settings = Some(settings_with_window(20_000));
+    let (new, _new_processor, _) = environment.start_successor();
+    let mut late = new.gateway();
+    std::thread::sleep(Duration::from_millis(2 * WINDOW_MS).saturating_sub(ran_at.elapsed()));
+    late.send("swap-confirm", request_params(5000, Some("k"), b"body"));
+    assert_eq!(served(&late.receive()), base64(b"once"));
+}
+
+/// A successor of the build before asks for version 3, and gets no message that it does not know.
+#[test]
+fn a_successor_of_an_older_build_is_answered_in_its_version() {
+    let mut environment = NodeEnvironment::new("older-successor");
+    let (old, mut old_processor, _) = environment.start_first();
+    let mut gateway = old.ready();
+    gateway.send("swap-confirm", request_params(5000, Some("k"), b"body"));
+    let (id, _) = old_processor.begin();
+    old_processor.complete(&id, "fine", b"once");
+    assert_eq!(served(&gateway.receive()), base64(b"once"));
+    let mut stream = UnixStream::connect(environment.socket()).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    stream
+        .write_all(&message::greeting(message::OLDEST_VERSION))
+        .unwrap();
+    let mut reader = Decoder::default();
+    receive_until(&mut stream, &mut reader, |m| {
+        matches!(m, Message::Welcome(_))
+    });
+    assert_eq!(reader.peer_version(), Some(message::OLDEST_VERSION));
+    send(&mut stream, &Message::Freeze);
+    receive_until(&mut stream, &mut reader, |m| match m {
+        Message::Key(entry) => entry.key == "k",
+        other => panic!("not known in version 3: {other:?}"),
+    });
+}
+
+/// A predecessor of the build before rejects a newer version, and is asked for its own.
+#[test]
+fn a_predecessor_of_an_older_build_is_taken_over_from_in_its_version() {
+    let mut environment = NodeEnvironment::new("older-predecessor");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    environment.listen = json!(listener.local_addr().unwrap().to_string());
+    let restart_listener = UnixListener::bind(environment.socket()).unwrap();
+    let predecessor = std::thread::spawn(move || {
+        let mut greeting = vec![0; message::greeting(message::VERSION).len()];
+        let mut rejected = restart_listener.accept().unwrap().0;
+        rejected.read_exact(&mut greeting).unwrap();
+        assert_eq!(greeting, message::greeting(message::VERSION));
+        let answer = message::greeting(message::OLDEST_VERSION);
+        rejected.write_all(&answer).unwrap();
+        drop(rejected);
+        let mut stream = restart_listener.accept().unwrap().0;
+        stream.read_exact(&mut greeting).unwrap();
+        assert_eq!(greeting, answer);
+        send_welcome(&stream, &listener, message::OLDEST_VERSION);
+        let mut reader = Decoder::default();
+        reader.feed(&answer);
+        receive_until(&mut stream, &mut reader, |m| *m == Message::Freeze);
+    });
+    let tmp = environment.folder.0.to_str().unwrap().to_owned();
+    let mut processor = Processor::new();
+    let config = json!({"processor": processor.address().to_string(),
+        "listen": environment.listen});
+    let successor = std::thread::spawn(move || Node::run_to_exit(config, &[("TMPDIR", &tmp)]));
+    processor.accept_running();
+    predecessor.join().unwrap();
+    // The predecessor, this test's process, closes the connection and still runs.
+    let (code, log) = successor.join().unwrap();
+    assert!(
+        code == Some(1) && log.contains("the predecessor closed the connection and still runs"),
+        "{code:?} {log}"
+    );
+}
+
 #[test]
 fn a_hot_restart_succeeds_after_a_failed_one() {
     let mut environment = NodeEnvironment::new("again");
