Apply longer windows to the records of the idempotency store

Callers could see a key run again after a restart whose configuration has a longer window, and after a reload with one, a kill and a restart.

Recovery took the window that an intent was written with, and the log dropped segments by it.

Why this works: recovery extends intents to the window in force for their class before it decides which keys are live, so the core gets the right end. A reload that makes a window longer sends the difference with the next batch, and the log keeps all segments written before for that much longer, also over a rewriting of the oldest one. The longest window since the start counts, so that reloads to and fro add nothing.

A reload also notifies the drivers now: the store's writer, and the successor to which extended keys are sent.

--- a/crates/core/src/core/configuration.rs
+++ b/crates/core/src/core/configuration.rs
@@ -67,6 +67,12 @@
             })
             .collect();
         self.keys.apply_windows(&windows, read_delay);
+        if let Some(store) = &mut self.store {
+            let windows = windows
+                .iter()
+                .map(|(class, &time)| (class.to_string(), time));
+            store.apply_windows(&windows.collect());
+        }
         self.settings = Settings {
             classes,
             is_cold: self.settings.is_cold,
--- a/crates/core/src/run_store.rs
+++ b/crates/core/src/run_store.rs
@@ -6,6 +6,7 @@
 use crate::idempotency_table::CachedOutcome;
 use crate::request::Reference;
 use pipitlever_admission::Micros;
+use pipitlever_idempotency_store::class_windows::ClassWindows;
 use pipitlever_idempotency_store::commit_queue::{CommitEvent, CommitQueue};
 use pipitlever_idempotency_store::record::Outcome;
 use std::collections::HashMap;
@@ -29,6 +30,8 @@
     pub(crate) uptime_offset: Micros,
     /// Whether an answer with a result is sent only once the result is durable.
     waits_for_outcome: bool,
+    /// The longest window of each class since the start.
+    pub(crate) class_windows: ClassWindows,
     /// New keys are rejected until this time, since a damaged log may have lost keys.
     pub(crate) damage_ends_at: Micros,
     /// Runs that an earlier process started and whose end was not recorded, with their key.
@@ -55,15 +58,18 @@
     ///
     /// `uptime_offset` is the offset from the node's clock to the machine's uptime, in
     /// microseconds. With `waits_for_outcome`, answers with a result are sent only once the result
-    /// is durable. New keys are rejected until `damage_ends_at`.
+    /// is durable. New keys are rejected until `damage_ends_at`. `class_windows` are the windows of
+    /// the configuration that the store was opened with.
     pub fn new(
         commit_queue: CommitQueue,
+        class_windows: ClassWindows,
         uptime_offset: Micros,
         waits_for_outcome: bool,
         damage_ends_at: Option<Micros>,
     ) -> RunStore {
         RunStore {
             commit_queue,
+            class_windows,
             uptime_offset,
             waits_for_outcome,
             damage_ends_at: damage_ends_at.unwrap_or(Micros::MIN),
@@ -73,6 +79,15 @@
         }
     }
 
+    /// Applies the windows of a new configuration: where one is longer, records are kept for longer.
+    pub(crate) fn apply_windows(&mut self, windows: &ClassWindows) {
+        let extension = self.class_windows.merge(windows);
+        if extension > 0 {
+            self.commit_queue.extend_expiry(extension);
+            self.damage_ends_at = self.damage_ends_at.saturating_add(extension);
+        }
+    }
+
     /// Queues the outcome of a run for writing. Returns whether the answer has to wait until the
     /// outcome is durable.
     pub(crate) fn write_outcome(&mut self, reference: Reference, outcome: &CachedOutcome) -> bool {
--- a/crates/core/tests/store.rs
+++ b/crates/core/tests/store.rs
@@ -5,6 +5,7 @@
 use common::*;
 use pipitlever_admission::Micros;
 use pipitlever_core::{Answer, Core, Reference, RunOutcome, RunStore};
+use pipitlever_idempotency_store::class_windows::ClassWindows;
 use pipitlever_idempotency_store::commit_queue::{CommitQueue, CommitQueueConfig, SYNC_TIMEOUT};
 use pipitlever_idempotency_store::record::{Intent, Outcome};
 use pipitlever_idempotency_store::recovery::RecoveredKey;
@@ -27,7 +28,13 @@
         sync_each_record: false,
     };
     let commit_queue = CommitQueue::new(config, 0, damage_ends_at, 1 << 32);
-    let store = RunStore::new(commit_queue, UPTIME, waits_for_outcome, damage_ends_at);
+    let store = RunStore::new(
+        commit_queue,
+        ClassWindows::from_iter([("keyed".to_owned(), 20 * SECOND)]),
+        UPTIME,
+        waits_for_outcome,
+        damage_ends_at,
+    );
     core.attach_store(store, recovered);
     core
 }
@@ -259,3 +266,37 @@
     core.handle_store_result(20 * SECOND, Ok(200));
     assert_eq!(started(&take_effects(&mut core)), [3]);
 }
+
+/// Guards against records that the store drops although a reload has made their window longer.
+#[test]
+fn longer_window_extends_the_records_on_the_disk() {
+    let mut core = core_with_store(false, None, vec![]);
+    core.handle_request(SECOND, incoming(1, SECOND, Some("k")));
+    core.next_store_batch(SECOND);
+    core.handle_store_result(SECOND, Ok(400));
+    let mut set_window = |window: Micros| {
+        let names = class_names();
+        let assignments = core.classes.assign(&names, |_, _| false, |_| true).unwrap();
+        core.reconfigure(
+            settings_with_window(window),
+            CALL_INTERVAL,
+            &names,
+            &assignments,
+        );
+        core.next_store_batch(2 * SECOND)
+            .map(|batch| (batch.extension, batch.expiries.len()))
+    };
+    assert_eq!(set_window(20 * SECOND), None);
+    assert_eq!(set_window(30 * SECOND), Some((10 * SECOND, 0)));
+    // The batch was not written, and its extension is part of the next one.
+    core.handle_store_result(2 * SECOND, Err(std::io::Error::other("no space")));
+    let mut at = 2 * SECOND;
+    let batch = loop {
+        at = core.next_wakeup().expect("the write is retried").max(at);
+        core.handle_wakeup(at);
+        if let Some(batch) = core.next_store_batch(at) {
+            break batch;
+        }
+    };
+    assert_eq!(batch.extension, 10 * SECOND);
+}
--- a/crates/idempotency-store/src/commit_queue/mod.rs
+++ b/crates/idempotency-store/src/commit_queue/mod.rs
@@ -38,6 +38,8 @@
 #[derive(Debug)]
 struct BatchInFlight {
     records: Vec<Record>,
+    /// [`Batch::extension`] of the batch.
+    extension: Micros,
     started_at: Micros,
 }
 
@@ -64,6 +66,9 @@
     outcome_references: HashMap<u64, u64>,
     space: Space,
     writer: WriterStatus,
+    /// How much longer the records that were written before are to be kept, in microseconds. The
+    /// writer has not been told of it yet.
+    extension: Micros,
     /// Until this time damage may hide keys.
     damaged_until: Option<Micros>,
     /// When expired open intents were last removed.
@@ -94,6 +99,7 @@
             outcome_references: HashMap::new(),
             space: Space::new(config, used_bytes),
             writer: WriterStatus::default(),
+            extension: 0,
             damaged_until,
             last_expiry_at: Micros::MIN / 2,
             reported: None,
@@ -190,6 +196,19 @@
         }
     }
 
+    /// Keeps all records that were enqueued before for this much longer, in microseconds, since
+    /// windows became longer.
+    pub fn extend_expiry(&mut self, extension: Micros) {
+        self.extension = self.extension.saturating_add(extension);
+        for open in self.open_intents.values_mut() {
+            open.expires_at = open.expires_at.saturating_add(extension);
+        }
+        // The keys that damage may hide have these windows too.
+        if let Some(until) = &mut self.damaged_until {
+            *until = until.saturating_add(extension);
+        }
+    }
+
     fn close_intent(&mut self, reference: u64) -> Option<OpenIntent> {
         let open = self.open_intents.remove(&reference)?;
         self.space.release_outcomes(1);
@@ -203,10 +222,15 @@
             return None;
         }
         let is_full = self.is_full(now);
-        if self.queue.is_empty() && !is_full && self.writer.failure.is_none() {
+        let has_work = !self.queue.is_empty() || self.extension > 0;
+        if !has_work && !is_full && self.writer.failure.is_none() {
             return None;
         }
-        let mut batch = Batch::default();
+        let extension = std::mem::take(&mut self.extension);
+        let mut batch = Batch {
+            extension,
+            ..Batch::default()
+        };
         let mut records = Vec::new();
         while let Some(record) = self.queue.pop_front() {
             batch.push(&record);
@@ -220,6 +244,7 @@
         }
         self.in_flight = Some(BatchInFlight {
             records,
+            extension,
             started_at: now,
         });
         Some(batch)
@@ -248,6 +273,7 @@
             }
             Err(error) => {
                 self.writer.record_failure(now, &error);
+                self.extension = self.extension.saturating_add(batch.extension);
                 for record in batch.records.into_iter().rev() {
                     self.roll_back(record, events);
                 }
@@ -344,7 +370,10 @@
         if let Some(batch) = &self.in_flight {
             return (!self.writer.is_slow).then_some(batch.started_at + SYNC_TIMEOUT);
         }
-        let has_work = self.writer.failure.is_some() || !self.queue.is_empty() || self.is_full(now);
+        let has_work = self.writer.failure.is_some()
+            || !self.queue.is_empty()
+            || self.extension > 0
+            || self.is_full(now);
         has_work.then_some(self.writer.not_before.max(now))
     }
 
--- a/crates/idempotency-store/src/lib.rs
+++ b/crates/idempotency-store/src/lib.rs
@@ -5,6 +5,7 @@
 //! within its window, whether a run may have started and how it ended.
 //!
 //! - [`record`]: the records and their encoding.
+//! - [`class_windows`]: the windows in force, which apply to earlier records where they are longer.
 //! - [`recovery`]: recovery of keys and outcomes from the records, by the next process.
 //! - [`commit_queue`]: the write-ahead queue with group commit. Decides which records are written
 //!   next, which runs may start, and when keyed requests are rejected. No I/O and no clock.
@@ -14,6 +15,7 @@
 //!
 //! `docs/idempotency-store.md` compares the alternatives, with measurements.
 
+pub mod class_windows;
 pub mod commit_queue;
 pub mod crash_point;
 pub mod disk;
--- a/crates/idempotency-store/src/log/batch.rs
+++ b/crates/idempotency-store/src/log/batch.rs
@@ -19,6 +19,8 @@
     pub bytes: Vec<u8>,
     /// Expiry and size of each record.
     pub expiries: Vec<RecordExpiry>,
+    /// All records, those of the batch included, are kept for this much longer, in microseconds.
+    pub extension: Micros,
 }
 
 impl Batch {
--- a/crates/idempotency-store/src/log/compaction.rs
+++ b/crates/idempotency-store/src/log/compaction.rs
@@ -42,18 +42,22 @@
     }
 
     fn rewrite_oldest(&mut self, now: Micros) -> io::Result<()> {
-        let number = self.segments[0].number;
+        let (number, extension) = (self.segments[0].number, self.segments[0].extension);
         let bytes = self.files.read(&segment_name(number))?;
         let mut live = Batch::default();
         let clocks = self.files.clocks();
         Segment::read(number, &bytes, &clocks, |record, _| {
-            if record.expires_at() >= now {
+            if record.expires_at().saturating_add(extension) >= now {
                 live.push(&record);
             }
         });
         self.start_segment()?;
         if !live.is_empty() {
             self.append(&live)?;
+            // The records are copied as they were written.
+            if let Some(segment) = self.segments.back_mut() {
+                segment.extend(extension);
+            }
         }
         // All live records are in a newer segment; the start of the next one drops this segment.
         self.segments[0].expires_at = Micros::MIN;
--- a/crates/idempotency-store/src/log/contents.rs
+++ b/crates/idempotency-store/src/log/contents.rs
@@ -3,6 +3,7 @@
 use super::error::{Damage, OpenError};
 use super::files::{segment_name, segment_number, SegmentFiles};
 use super::segment::Segment;
+use crate::class_windows::ClassWindows;
 use crate::record::{Clocks, Salt};
 use crate::recovery::{RecoveredKey, RecoveryTable};
 use pipitlever_framing::ReadErrorKind;
@@ -32,11 +33,26 @@
     /// If the file system reports an error, or a segment is of another version of the format.
     /// Damage is not an error; it is listed in [`LogContents::damage`].
     pub fn read(files: &mut impl SegmentFiles) -> Result<LogContents, OpenError> {
+        LogContents::read_with_windows(files, ClassWindows::default())
+    }
+
+    /// Like [`LogContents::read`], for a process with these windows.
+    ///
+    /// # Errors
+    ///
+    /// As [`LogContents::read`].
+    pub fn read_with_windows(
+        files: &mut impl SegmentFiles,
+        class_windows: ClassWindows,
+    ) -> Result<LogContents, OpenError> {
         let names = files.list()?;
         let mut numbers: Vec<u64> = names.iter().filter_map(|n| segment_number(n)).collect();
         numbers.sort_unstable();
         let now = files.clocks();
-        let mut contents = LogContents::default();
+        let mut contents = LogContents {
+            table: RecoveryTable::with_windows(class_windows),
+            ..LogContents::default()
+        };
         for number in numbers {
             contents.read_segment(files, number, &now)?;
         }
--- a/crates/idempotency-store/src/log/mod.rs
+++ b/crates/idempotency-store/src/log/mod.rs
@@ -82,6 +82,14 @@
     ///
     /// If the files report an error. The batch may be durable nevertheless.
     pub fn write(&mut self, batch: &Batch) -> io::Result<()> {
+        self.write_records(batch)?;
+        for segment in &mut self.segments {
+            segment.extend(batch.extension);
+        }
+        Ok(())
+    }
+
+    fn write_records(&mut self, batch: &Batch) -> io::Result<()> {
         self.reclaim_space()?;
         if batch.is_empty() {
             return match self.next_frame {
--- a/crates/idempotency-store/src/log/open.rs
+++ b/crates/idempotency-store/src/log/open.rs
@@ -6,6 +6,7 @@
 use super::segment::Segment;
 use super::usage::SegmentUsage;
 use super::Log;
+use crate::class_windows::ClassWindows;
 use crate::record::Salt;
 use crate::recovery::RecoveredKey;
 use crate::Micros;
@@ -31,11 +32,26 @@
     /// If the files report an error, a segment is of another version of the format, or there is no
     /// salt yet and the system has no random source.
     pub fn open(
+        files: F,
+        limits: Limits,
+        window: Micros,
+    ) -> Result<(Log<F>, OpenReport), OpenError> {
+        Log::open_with_windows(files, limits, window, ClassWindows::default())
+    }
+
+    /// Like [`Log::open`]. `class_windows` are the windows of this process's classes, which apply to
+    /// the records of earlier processes where they are longer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Log::open`].
+    pub fn open_with_windows(
         mut files: F,
         limits: Limits,
         window: Micros,
+        class_windows: ClassWindows,
     ) -> Result<(Log<F>, OpenReport), OpenError> {
-        let mut contents = LogContents::read(&mut files)?;
+        let mut contents = LogContents::read_with_windows(&mut files, class_windows)?;
         let now = files.clocks();
         drop_unstarted_segments(&mut contents);
         let longest_window = contents.table.longest_window().max(window);
@@ -103,10 +119,13 @@
     // All segments of a damaged log are retained until every key that the damage may hide has
     // expired, so that each restart until then reports the damage.
     let is_damaged = !contents.damage.is_empty();
+    let extension = contents.table.longest_extension();
     let found = contents.segments.iter().map(|segment| {
         let remaining = segment.remaining.filter(|_| !is_damaged);
         let expires_at = since_boot.saturating_add(remaining.unwrap_or(longest));
-        SegmentUsage::found(segment.number, segment.size, expires_at)
+        let mut usage = SegmentUsage::found(segment.number, segment.size, expires_at);
+        usage.extend(extension);
+        usage
     });
     let mut usages: Vec<SegmentUsage> = missing.chain(found).collect();
     usages.sort_by_key(|usage| usage.number);
--- a/crates/idempotency-store/src/log/usage.rs
+++ b/crates/idempotency-store/src/log/usage.rs
@@ -14,6 +14,9 @@
     pub(super) bytes: u64,
     /// When all of its records have expired, by the time since boot, in microseconds.
     pub(super) expires_at: Micros,
+    /// How much longer than written its records are needed, since windows became longer, in
+    /// microseconds.
+    pub(super) extension: Micros,
     /// Bytes of records by the second in which they expire. All bytes of an earlier process's
     /// segment count as expiring together.
     bytes_by_expiry: BTreeMap<i64, u64>,
@@ -26,6 +29,7 @@
             number,
             bytes,
             expires_at: Micros::MIN,
+            extension: 0,
             bytes_by_expiry: BTreeMap::new(),
         }
     }
@@ -36,6 +40,7 @@
             number,
             bytes,
             expires_at,
+            extension: 0,
             bytes_by_expiry: BTreeMap::from([(expires_at / SECOND, bytes)]),
         }
     }
@@ -57,6 +62,22 @@
         }
     }
 
+    /// Keeps all records for this much longer, in microseconds.
+    pub(super) fn extend(&mut self, extension: Micros) {
+        self.extension = self.extension.saturating_add(extension);
+        if self.expires_at != Micros::MIN {
+            self.expires_at = self.expires_at.saturating_add(extension);
+        }
+        let seconds = extension / SECOND + 1;
+        if extension > 0 {
+            let before = std::mem::take(&mut self.bytes_by_expiry);
+            self.bytes_by_expiry = before
+                .into_iter()
+                .map(|(second, bytes)| (second.saturating_add(seconds), bytes))
+                .collect();
+        }
+    }
+
     /// Bytes of records that have not expired.
     pub(super) fn live_bytes(&self, now: Micros) -> u64 {
         let live = self.bytes_by_expiry.range(now / SECOND..);
--- a/crates/idempotency-store/src/recovery.rs
+++ b/crates/idempotency-store/src/recovery.rs
@@ -14,6 +14,7 @@
 //! a whole window counts from the restart. A clock change therefore never allows a second run; at
 //! worst, keys are retained for a whole window from the restart.
 
+use crate::class_windows::ClassWindows;
 use crate::record::{Clocks, Intent, Outcome, Record};
 use crate::Micros;
 use std::collections::{HashMap, HashSet};
@@ -78,9 +79,21 @@
     voids: HashSet<u64>,
     longest_window: Micros,
     longest_read_grace: Micros,
+    /// The windows in force in this process.
+    class_windows: ClassWindows,
+    longest_extension: Micros,
 }
 
 impl RecoveryTable {
+    /// A table for a process with these windows. Those that are longer than the windows with which
+    /// intents were written apply to them.
+    pub fn with_windows(class_windows: ClassWindows) -> RecoveryTable {
+        RecoveryTable {
+            class_windows,
+            ..RecoveryTable::default()
+        }
+    }
+
     /// Adds a record of a segment that was started at `written`.
     pub fn add(&mut self, record: Record, written: &Clocks, now: &Clocks) {
         match record {
@@ -92,7 +105,9 @@
         }
     }
 
-    fn add_intent(&mut self, intent: Intent, written: &Clocks, now: &Clocks) {
+    fn add_intent(&mut self, mut intent: Intent, written: &Clocks, now: &Clocks) {
+        let extension = self.class_windows.extend(&mut intent);
+        self.longest_extension = self.longest_extension.max(extension);
         self.longest_window = self.longest_window.max(intent.window);
         self.longest_read_grace = self.longest_read_grace.max(intent.read_grace);
         let Some(remaining_window) = remaining_window(&intent, written, now) else {
@@ -118,6 +133,11 @@
         self.longest_read_grace
     }
 
+    /// The longest time by which the window of an intent was extended, in microseconds.
+    pub fn longest_extension(&self) -> Micros {
+        self.longest_extension
+    }
+
     /// The longest [`Intent::window`] of all intents, in microseconds.
     pub fn longest_window(&self) -> Micros {
         self.longest_window
--- a/crates/node/src/lifecycle/store.rs
+++ b/crates/node/src/lifecycle/store.rs
@@ -8,6 +8,7 @@
 use crate::supervision::{Subsystem, Supervisor};
 use pipitlever_admission::{Class, Micros};
 use pipitlever_core::RunStore;
+use pipitlever_idempotency_store::class_windows::ClassWindows;
 use pipitlever_idempotency_store::commit_queue::{CommitQueue, CommitQueueConfig};
 use pipitlever_idempotency_store::disk::{BatchWriter, StoreDirectory};
 use pipitlever_idempotency_store::log::{Limits, Log, OpenReport};
@@ -21,6 +22,7 @@
     log: Log<StoreDirectory>,
     report: OpenReport,
     window: Micros,
+    class_windows: ClassWindows,
 }
 
 /// Opens the configured store, if there is one.
@@ -32,20 +34,30 @@
     let longest = |time: fn(&Class) -> Micros| classes.iter().map(time).max().unwrap_or(0);
     // A retry that arrives within its window may be read later, by up to its deadline.
     let window = longest(|c| c.idempotency_window) + longest(|c| c.deadline);
-    open(settings, window).map(Some)
+    let names = config.request_settings.classes.iter();
+    let class_windows = names
+        .zip(classes)
+        .map(|(name, class)| (name.clone(), class.idempotency_window))
+        .collect();
+    open(settings, window, class_windows).map(Some)
 }
 
 /// Opens a store and logs its contents and damage. `window` is the longest idempotency window plus
-/// the longest deadline.
-fn open(settings: StoreSettings, window: Micros) -> Result<OpenedStore, String> {
+/// the longest deadline, `class_windows` the windows by class.
+fn open(
+    settings: StoreSettings,
+    window: Micros,
+    class_windows: ClassWindows,
+) -> Result<OpenedStore, String> {
     let folder = settings.folder.display().to_string();
     let started = Instant::now();
     let directory =
         StoreDirectory::open(&settings.folder).map_err(|e| format!("store: {folder}: {e}"))?;
-    let (log, report) = Log::open(
+    let (log, report) = Log::open_with_windows(
         directory,
         Limits::for_capacity(settings.capacity_bytes),
         window,
+        class_windows.clone(),
     )
     .map_err(|e| format!("store: {folder}: {e}"))?;
     for damage in &report.damage {
@@ -68,6 +80,7 @@
         log,
         report,
         window,
+        class_windows,
     })
 }
 
@@ -111,6 +124,7 @@
             let answer_when_durable = self.settings.answer_when_durable;
             let run_store = RunStore::new(
                 commit_queue,
+                self.class_windows,
                 clocks.since_boot - now,
                 answer_when_durable,
                 damaged_until,
--- a/crates/node/src/net/event_loop/mod.rs
+++ b/crates/node/src/net/event_loop/mod.rs
@@ -183,6 +183,11 @@
         );
         self.execute_effects();
         self.is_updating_core = is_nested;
+        self.notify_drivers();
+    }
+
+    /// Notifies the drivers that have work after an update of the core.
+    fn notify_drivers(&mut self) {
         if self.core.has_store() {
             self.store_work.notify();
             let now = self.clock.now();
--- a/crates/node/src/net/event_loop/reconfigure.rs
+++ b/crates/node/src/net/event_loop/reconfigure.rs
@@ -55,9 +55,11 @@
         self.gauge_names = new.gauges;
         self.tenants = new.tenants;
         self.core.retries_are_marked = new.retries_are_marked;
-        Ok(self
-            .core
-            .reconfigure(new.admission, new.min_round_interval, &names, &assignments))
+        let is_changed =
+            self.core
+                .reconfigure(new.admission, new.min_round_interval, &names, &assignments);
+        self.notify_drivers();
+        Ok(is_changed)
     }
 
     /// Changes the addresses of the services that the node connects to. Runs and calls in flight at
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -9,6 +9,7 @@
 use pipitlever_idempotency_store::record::Outcome;
 use pipitlever_idempotency_store::recovery::RecoveredKey;
 use serde_json::json;
+use std::time::{Duration, Instant};
 
 /// The store in a test's folder.
 trait StoreFolder {
@@ -179,3 +180,44 @@
         assert_eq!(answer["error"]["code"], -32001, "{answer}");
     }
 }
+
+/// Guards against a second run of a key after a restart whose configuration has a longer window,
+/// and after a reload with one and a kill.
+#[test]
+fn a_window_that_became_longer_outlasts_a_kill() {
+    const WINDOW_MS: u64 = 300;
+    for has_reload in [false, true] {
+        let scratch = ScratchDirectory::new("longer-window");
+        let mut settings = configuration(&json!({}))["settings"].clone();
+        settings["categories"][1]["memorySpan"] = json!(WINDOW_MS * 1000);
+        let mut processor = Processor::new();
+        let address = processor.address().to_string();
+        let entries = json!({"processor": address, "settings": settings});
+        let mut node = Node::start(entries, Some(&scratch.section()));
+        processor.accept_running();
+        let mut gateway = node.ready();
+        gateway.send("swap-confirm", request_params(250, Some("k"), b"body"));
+        let (id, _) = processor.begin();
+        processor.complete(&id, "fine", b"once");
+        assert_eq!(gateway.receive()["result"]["doc"], base64(b"once"));
+        let ran_at = Instant::now();
+        let is_ended = |key: &RecoveredKey| key.outcome.is_some();
+        while !scratch.recovered_keys().iter().any(is_ended) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        settings["categories"][1]["memorySpan"] = json!(20_000_000);
+        if has_reload {
+            node.reload(json!({"settings": settings}));
+            assert_eq!(node.wait_for_line("reload: "), "reload: done");
+        }
+        node.signal("-KILL");
+        node.wait();
+        let entries = json!({"processor": address, "settings": settings});
+        let node = Node::start(entries, Some(&scratch.section()));
+        processor.accept_running();
+        let mut gateway = node.ready();
+        std::thread::sleep(Duration::from_millis(2 * WINDOW_MS).saturating_sub(ran_at.elapsed()));
+        gateway.send("swap-confirm", request_params(5000, Some("k"), b"body"));
+        assert_eq!(gateway.receive()["result"]["doc"], base64(b"once"));
+    }
+}
