Give each process of Node::run_to_exit a configuration file of its own

Its process listened at the address of another test and looked for a predecessor there: both tests wrote their configuration to one file, and a process started with the other test's. The product did not wait for anything.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Upper limit of every wait; a test that reaches it has failed.
@@ -216,10 +216,11 @@
         }
     }
 
-    /// Runs a node that ends by itself; returns its exit code and its log.
+    /// Runs a node that ends by itself; returns its exit code and its log. A node that does not end
+    /// is killed, and has no exit code.
     pub fn run_to_exit(config_entries: Value, env: &[(&str, &str)]) -> (Option<i32>, String) {
-        let file =
-            std::env::temp_dir().join(format!("pipitlever-{}-fails.json", std::process::id()));
+        // A file of its own: tests that run at once would start with each other's configuration.
+        let file = Node::files()("json");
         std::fs::write(&file, configuration(&config_entries).to_string()).unwrap();
         let mut command = Command::new(PROGRAM);
         command
@@ -227,7 +228,17 @@
             .arg("--config")
             .arg(&file)
             .envs(env.iter().copied());
-        let output = command.output().expect("starts");
+        let child = command.stderr(Stdio::piped()).spawn().expect("starts");
+        let id = child.id().to_string();
+        let (ended, end) = channel::<()>();
+        let watchdog = std::thread::spawn(move || {
+            if end.recv_timeout(TEST_TIMEOUT) == Err(RecvTimeoutError::Timeout) {
+                let _ = Command::new("kill").args(["-KILL", &id]).status();
+            }
+        });
+        let output = child.wait_with_output().expect("ends");
+        drop(ended);
+        watchdog.join().unwrap();
         let _ = std::fs::remove_file(&file);
         (
             output.status.code(),
@@ -311,6 +322,14 @@
         self.child.id()
     }
 
+    /// The resident memory of the process, in KB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let size = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        size.expect("the size of the process").parse().unwrap()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
