Let socket events pass a connection that always has more to read

Callers saw late answers, and the process went over its memory limit, while one client sent small or invalid messages at full speed.

Cause: after each 8 KB the connection's task yielded to the executor, which looks for events only after 200 tasks. A turn had no bound in messages, and the connection was read on while its client did not read the answers.

Evidence: the delay was about 200 turns of the flooding connection.

Why this works: next_poll wakes the task only after the next look for events, behind the tasks that these concern. 32 messages per turn bound a turn; 64 KB of unsent answers pause the reading, so that the client's own speed bounds what is kept for it. Messages that wait for a turn keep the connection open like a partial message.

--- a/crates/node/src/net/connections/connection.rs
+++ b/crates/node/src/net/connections/connection.rs
@@ -44,6 +44,8 @@
     pub outbox: Outbox,
     /// Notified when the connection is to be closed.
     pub close_requested: Notify,
+    /// Notified when bytes were written.
+    pub written: Notify,
     /// Bytes that wait to be written or are being written.
     pub unsent_bytes: usize,
     /// Requests without an answer, by their number on this connection.
@@ -70,6 +72,7 @@
             front,
             outbox: Outbox::default(),
             close_requested: Notify::new(),
+            written: Notify::new(),
             unsent_bytes: 0,
             open_requests: HashMap::new(),
             last_use: now,
--- a/crates/node/src/net/connections/mod.rs
+++ b/crates/node/src/net/connections/mod.rs
@@ -13,6 +13,9 @@
 
 /// Limit on unsent bytes of one connection: more than the answers to all its open requests.
 const MAX_UNSENT_BYTES: usize = 256 << 10;
+/// A connection with more unsent bytes than this is not read. Otherwise a peer that sends many short
+/// messages and does not read would make the node keep an answer to each.
+const READING_PAUSE_BYTES: usize = 64 << 10;
 /// Limit on unidentified connections in a lingering close; further ones are closed at once.
 /// Identified connections always linger, as their peers may still have answers to read.
 const MAX_UNIDENTIFIED_LINGERING: usize = 32;
@@ -65,6 +68,8 @@
     pub outbox: Outbox,
     /// Notified when the connection is to be closed.
     pub close_requested: Notify,
+    /// Notified when bytes were written, so that reading may go on.
+    pub written: Notify,
 }
 
 /// A lingering close, which lasts until [`ConnectionTable::end_linger`].
@@ -119,6 +124,7 @@
             id: self.last_id,
             outbox: connection.outbox.clone(),
             close_requested: connection.close_requested.clone(),
+            written: connection.written.clone(),
         };
         self.connections.insert(self.last_id, connection);
         handle
@@ -160,9 +166,17 @@
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.unsent_bytes -= length;
             self.unsent_bytes -= length;
+            connection.written.notify();
         }
     }
 
+    /// Whether no further message of a connection is to be handled until its peer has read more of
+    /// the answers.
+    pub fn is_reading_paused(&self, id: u64) -> bool {
+        let connection = self.connections.get(&id);
+        connection.is_some_and(|connection| connection.unsent_bytes > READING_PAUSE_BYTES)
+    }
+
     /// Bytes that wait to be written, over all connections.
     pub fn unsent_bytes(&self) -> usize {
         self.unsent_bytes
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -8,7 +8,7 @@
 use crate::net::{after_ms, timeout_at};
 use crate::supervision::{Subsystem, Supervisor};
 use futures_lite::future;
-use pipitlever_reactor::{Async, Timer};
+use pipitlever_reactor::{next_poll, Async, Timer};
 use pipitlever_wire::jsonrpc::GatewayReader;
 use pipitlever_wire::uwsgi::PacketReader;
 use std::cell::RefCell;
@@ -27,6 +27,9 @@
 const IDLE_CHECK_MS: u64 = 1000;
 /// Size of the buffer that a connection is read into, in bytes.
 const READ_BUFFER_BYTES: usize = 8192;
+/// Limit on the messages of one connection that are handled before other connections have their
+/// turn.
+const MESSAGES_PER_TURN: usize = 32;
 
 /// Accepts the connections of one listener.
 struct Acceptor {
@@ -114,10 +117,11 @@
         id,
         outbox,
         close_requested,
+        written,
     } = handle;
     let reading = async {
         match front {
-            Front::Gateway => read_gateway(&state, id, &stream, &outbox).await,
+            Front::Gateway => read_gateway(&state, id, &stream, &outbox, &written).await,
             Front::Uwsgi => read_packet(&state, id, &stream, &outbox).await,
         }
         ConnectionEnd::PeerClosed
@@ -167,7 +171,13 @@
 }
 
 /// Reads a gateway's messages until it closes the connection.
-async fn read_gateway(state: &SharedState, id: u64, stream: &Async<TcpStream>, outbox: &Outbox) {
+async fn read_gateway(
+    state: &SharedState,
+    id: u64,
+    stream: &Async<TcpStream>,
+    outbox: &Outbox,
+    written: &Notify,
+) {
     let mut reader = GatewayReader::default();
     let mut bytes = vec![0; READ_BUFFER_BYTES];
     while let Ok(length) = stream.read(&mut bytes).await {
@@ -178,7 +188,14 @@
         if !outbox.is_closed() {
             reader.feed(&bytes[..length]);
         }
+        let mut handled = 0;
         while !outbox.is_closed() {
+            if handled == MESSAGES_PER_TURN {
+                handled = 0;
+                wait_for_turn(state, id, written).await;
+                continue;
+            }
+            handled += 1;
             let message = reader.next_message(
                 |name| state.borrow().class_index(name),
                 |name| state.borrow().tenant_index(name),
@@ -195,7 +212,28 @@
         state
             .borrow_mut()
             .record_activity(id, reader.has_partial_message());
-        // A peer that never stops sending must not block the other tasks.
+        yield_after_read(length).await;
+    }
+}
+
+/// Waits until the next message of a connection may be handled: other connections had their turn,
+/// and the peer has read enough of its answers. Messages that are read and not handled yet keep the
+/// connection from being closed, like a partial message.
+async fn wait_for_turn(state: &SharedState, id: u64, written: &Notify) {
+    state.borrow_mut().record_activity(id, true);
+    next_poll().await;
+    while state.borrow().connections.is_reading_paused(id) {
+        written.wait().await;
+    }
+}
+
+/// Lets other tasks run after a read of this many bytes. A peer that never stops sending may not
+/// keep them from their sockets, either.
+async fn yield_after_read(length: usize) {
+    if length == READ_BUFFER_BYTES {
+        next_poll().await;
+    } else {
+        // The next read waits for an event.
         future::yield_now().await;
     }
 }
@@ -220,7 +258,7 @@
             state.borrow_mut().handle_uwsgi_packet(id, packet);
         }
         state.borrow_mut().record_activity(id, reader.is_some());
-        future::yield_now().await;
+        yield_after_read(length).await;
     }
 }
 
--- a/crates/node/tests/floods.rs
+++ b/crates/node/tests/floods.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -122,3 +122,158 @@
     );
     assert!(count("malformed") > 0, "{counters}");
 }
+
+/// How a client floods one connection: it repeats these lines, in each of which `ID` stands for the
+/// next number.
+struct LineFlood {
+    lines: &'static [&'static str],
+    /// Whether it reads the answers.
+    reads: bool,
+}
+
+const HEALTH_CHECK: &str = r#"{"jsonrpc":"2.0","id":ID,"method":"alive"}"#;
+const UNKNOWN_CLASS: &str = r#"{"jsonrpc":"2.0","id":ID,"method":"class-ID","params":{"ref":"ffffffffffffffff","since":1,"room":1,"class_rank":0,"doc":""}}"#;
+/// Valid messages keep a connection open on which others are invalid.
+const LINE_FLOODS: [LineFlood; 4] = [
+    LineFlood {
+        lines: &[HEALTH_CHECK],
+        reads: true,
+    },
+    LineFlood {
+        lines: &["", "", "", "", "", HEALTH_CHECK],
+        reads: true,
+    },
+    LineFlood {
+        lines: &[HEALTH_CHECK, UNKNOWN_CLASS, UNKNOWN_CLASS],
+        reads: true,
+    },
+    LineFlood {
+        lines: &["", "", "", "", "", HEALTH_CHECK],
+        reads: false,
+    },
+];
+/// Lines that a flooding client writes on one connection.
+const LINES_PER_CONNECTION: usize = 200_000;
+
+impl LineFlood {
+    /// What a client writes on one connection.
+    fn text(&self) -> Vec<u8> {
+        let lines = self.lines.iter().cycle().take(LINES_PER_CONNECTION);
+        let mut text = String::new();
+        for (number, line) in lines.enumerate() {
+            text += &line.replace("ID", &(number + 1).to_string());
+            text.push('\n');
+        }
+        text.into_bytes()
+    }
+
+    /// Floods one connection after the other, until `end` is set.
+    fn run(&self, to: SocketAddr, end: &AtomicBool) {
+        let text = self.text();
+        while !end.load(Ordering::Relaxed) {
+            let Ok(mut stream) = TcpStream::connect(to) else {
+                continue;
+            };
+            let timeout = Some(Duration::from_millis(50));
+            stream.set_write_timeout(timeout).unwrap();
+            let mut answers = stream.try_clone().unwrap();
+            let reads = self.reads;
+            let reading = std::thread::spawn(move || {
+                let mut bytes = vec![0; 1 << 16];
+                while reads && matches!(answers.read(&mut bytes), Ok(1..)) {}
+            });
+            write_until(&mut stream, &text, end);
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            reading.join().unwrap();
+        }
+    }
+}
+
+/// Writes all bytes unless the connection ends or `end` is set first.
+fn write_until(stream: &mut TcpStream, mut bytes: &[u8], end: &AtomicBool) {
+    while !bytes.is_empty() && !end.load(Ordering::Relaxed) {
+        match stream.write(bytes) {
+            Ok(length) => bytes = &bytes[length..],
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// Guards against answers to other clients that come late, and against memory that grows, while one
+/// client sends small messages on one connection at full speed.
+#[test]
+fn a_flood_of_small_messages_delays_no_others_and_takes_no_memory() {
+    /// Limit on the memory of the process, in MB.
+    const MEMORY_MB: u64 = 48;
+    /// As the operators' calls are to be answered, whatever the load.
+    const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
+    for (number, flood) in LINE_FLOODS.iter().enumerate() {
+        let mut processor = Processor::new();
+        let limits = json!({"sockets": 512, "memory_mb": MEMORY_MB});
+        let entries = json!({"processor": processor.address(), "limits": limits});
+        let node = Node::start(entries, None);
+        processor.accept_running();
+        let mut gateway = node.ready();
+        let end = AtomicBool::new(false);
+        let mut latencies = Vec::new();
+        let mut memory = 0;
+        std::thread::scope(|scope| {
+            scope.spawn(|| flood.run(node.gateway_address, &end));
+            // The flood has begun.
+            std::thread::sleep(Duration::from_millis(200));
+            for _ in 0..30 {
+                let start = Instant::now();
+                gateway.send("rota-view", request_params(9000, None, b"body"));
+                let (id, body) = processor.begin();
+                processor.complete(&id, "fine", &body);
+                assert_eq!(gateway.receive()["result"]["doc"], base64(&body));
+                latencies.push(start.elapsed());
+                memory = node.resident_kb().max(memory);
+            }
+            end.store(true, Ordering::Relaxed);
+        });
+        let slowest = latencies.iter().max().unwrap();
+        println!("flood {number}: slowest {slowest:?}, memory {memory} KB");
+        assert!(*slowest < ANSWERED_WITHIN, "flood {number}: {latencies:?}");
+        assert!(memory < MEMORY_MB * 1024, "flood {number}: {memory} KB");
+    }
+}
+
+/// Guards against a connection that is ended, and answers that are lost, since its client writes
+/// many small messages before it reads the answers: the node stops reading instead.
+#[test]
+fn a_client_that_writes_before_it_reads_gets_all_answers() {
+    let mut processor = Processor::new();
+    let node = Node::start(json!({"processor": processor.address()}), None);
+    processor.accept_running();
+    node.ready();
+    let flood = LineFlood {
+        lines: &[HEALTH_CHECK],
+        reads: false,
+    };
+    let text = flood.text();
+    let mut stream = TcpStream::connect(node.gateway_address).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    stream.set_nonblocking(true).unwrap();
+    // Writes until the buffers are full in both directions and the node reads no more.
+    let (mut written, mut last_progress) = (0, Instant::now());
+    while written < text.len() && last_progress.elapsed() < Duration::from_millis(500) {
+        match stream.write(&text[written..]) {
+            Ok(length) => (written, last_progress) = (written + length, Instant::now()),
+            Err(error) => assert_eq!(error.kind(), ErrorKind::WouldBlock, "after {written}"),
+        }
+    }
+    stream.set_nonblocking(false).unwrap();
+    let mut writing = stream.try_clone().unwrap();
+    let rest = text[written..].to_vec();
+    let writing = std::thread::spawn(move || writing.write_all(&rest).unwrap());
+    let mut answers = BufReader::new(stream);
+    for id in 1..=LINES_PER_CONNECTION {
+        let mut line = String::new();
+        answers.read_line(&mut line).unwrap();
+        let expected = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},");
+        assert!(line.starts_with(&expected), "{line} in place of {id}");
+    }
+    writing.join().unwrap();
+}
--- a/crates/node/tests/load.rs
+++ b/crates/node/tests/load.rs
@@ -182,12 +182,6 @@
     );
 }
 
-/// The resident memory of the node, in KB.
-fn resident_kb(node: &Node) -> u64 {
-    let statm = std::fs::read_to_string(format!("/proc/{}/statm", node.pid())).unwrap();
-    statm.split(' ').nth(1).unwrap().parse::<u64>().unwrap() * 4
-}
-
 /// Memory used by a burst is freed after it (`benchmarks/tests/cost.rs` counts the bytes). The
 /// pages that the system allocator retains are bounded, as later bursts reuse them.
 #[cfg(target_os = "linux")]
@@ -212,9 +206,9 @@
                 assert!(parse_response(&line).1, "{}", &line[..line.len().min(300)]);
             }
         }
-        resident_kb(&node)
+        node.resident_kb()
     };
-    let at_rest = resident_kb(&node);
+    let at_rest = node.resident_kb();
     let first = (0..2).map(|_| burst()).max().unwrap();
     let later = (0..6).map(|_| burst()).max().unwrap();
     println!("at rest {at_rest} KB, after two bursts {first} KB, after eight {later} KB");
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -18,11 +18,13 @@
 //! assert!(Instant::now() >= deadline);
 //! ```
 
+mod poll_turn;
 mod reactor;
 mod socket;
 mod thread_waker;
 mod timer;
 
+pub use poll_turn::next_poll;
 pub use reactor::block_on;
 pub use socket::Async;
 pub use timer::Timer;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -110,6 +110,10 @@
     /// By deadline, then by identifier.
     timers: RefCell<BTreeMap<(Instant, u64), Waker>>,
     next_timer_id: Cell<u64>,
+    /// Tasks that wait for the end of the next poll.
+    poll_waiters: RefCell<Vec<Waker>>,
+    /// The number of polls so far.
+    polls: Cell<u64>,
     /// The buffer of a wait, empty between waits.
     events: RefCell<Vec<epoll::Event>>,
     /// The wakers that a wait collects in order, empty between waits.
@@ -141,6 +145,8 @@
             sources: RefCell::new(Slab::new()),
             timers: RefCell::new(BTreeMap::new()),
             next_timer_id: Cell::new(0),
+            poll_waiters: RefCell::new(Vec::new()),
+            polls: Cell::new(0),
             events: RefCell::new(Vec::with_capacity(MAX_EVENTS)),
             ready_wakers: RefCell::new(Vec::new()),
             thread_waker: Arc::new(thread_waker),
@@ -198,6 +204,21 @@
         sources[key].readiness(direction).is_ready = false;
     }
 
+    /// Whether the peer has closed its sending side, or the socket has failed.
+    pub(crate) fn is_read_closed(&self, key: usize) -> bool {
+        self.sources.borrow()[key].is_read_closed
+    }
+
+    /// The number of polls so far.
+    pub(crate) fn polls(&self) -> u64 {
+        self.polls.get()
+    }
+
+    /// Calls the waker after the next poll, which does not block.
+    pub(crate) fn wake_after_poll(&self, waker: &Waker) {
+        self.poll_waiters.borrow_mut().push(waker.clone());
+    }
+
     /// Clears the mark that the peer has closed its sending side.
     pub(crate) fn clear_read_closed(&self, key: usize) {
         self.sources.borrow_mut()[key].is_read_closed = false;
@@ -261,12 +282,16 @@
         let timers = self.timers.borrow();
         let next_deadline = timers.first_key_value().map(|((deadline, _), _)| *deadline);
         drop(timers);
-        let may_block = may_block && self.arm(next_deadline);
+        let has_waiters = !self.poll_waiters.borrow().is_empty();
+        let may_block = may_block && !has_waiters && self.arm(next_deadline);
         let mut wakers = self.ready_wakers.take();
         self.collect_events(may_block, &mut wakers);
         if next_deadline.is_some() || self.armed_deadline.get().is_some() {
             self.collect_expired_timers(&mut wakers);
         }
+        self.polls.set(self.polls.get() + 1);
+        // After the tasks with an event, which would otherwise wait behind busy ones.
+        wakers.append(&mut self.poll_waiters.borrow_mut());
         // Nothing is borrowed here: a waker may create and drop sockets and timers.
         wakers.drain(..).for_each(Waker::wake);
         wakers.shrink_to(MAX_EVENTS);
--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -44,6 +44,12 @@
         &self.io
     }
 
+    /// Whether the peer has closed its sending side, or the connection has failed, as of the last
+    /// events. Bytes that arrived before may still be unread.
+    pub fn is_read_closed(&self) -> bool {
+        REACTOR.with(|reactor| reactor.is_read_closed(self.key))
+    }
+
     /// Waits until the socket is ready.
     async fn ready(&self, direction: Direction) {
         poll_fn(|context| {
--- a/crates/reactor/tests/reactor.rs
+++ b/crates/reactor/tests/reactor.rs
@@ -2,8 +2,8 @@
 
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use pipitlever_reactor::{block_on, Async, Timer};
-use std::cell::RefCell;
+use pipitlever_reactor::{block_on, next_poll, Async, Timer};
+use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -321,3 +321,35 @@
         }
     });
 }
+
+/// Guards against events that wait for many turns of a task which always has more to do: with a
+/// mere yield to the executor's other tasks the reader below waits for about 200 turns.
+#[test]
+fn a_task_that_waits_for_the_next_poll_delays_no_event() {
+    let executor = Rc::new(LocalExecutor::new());
+    let turns = Rc::new(Cell::new(0));
+    let (reader, mut peer) = connected_pair();
+    let reading = executor.spawn({
+        let turns = turns.clone();
+        async move {
+            assert_eq!(reader.read(&mut [0; 8]).await.unwrap(), 1);
+            turns.get()
+        }
+    });
+    let busy = executor.spawn({
+        let turns = turns.clone();
+        async move {
+            // The reader has begun to wait.
+            next_poll().await;
+            peer.write_all(&[1]).unwrap();
+            turns.set(0);
+            loop {
+                turns.set(turns.get() + 1);
+                next_poll().await;
+            }
+        }
+    });
+    let read_at = run(executor.run(reading));
+    drop(busy);
+    assert_eq!(read_at, 1);
+}
