Do not run unread requests of a client that has left

Cause: the end of a connection was noticed behind the bytes before it, and the requests in these had been passed to admission by then.

Why this works: the reactor learns of the end together with the bytes. A request that is read after that is counted as gone and not handled.

--- a/crates/core/src/core/intake.rs
+++ b/crates/core/src/core/intake.rs
@@ -74,6 +74,12 @@
         self.process_pending(now);
     }
 
+    /// Counts a request that was read after its caller had disconnected. It is not handled.
+    pub fn count_unread_request(&mut self) {
+        self.counters.requests += 1;
+        self.counters.abandoned += 1;
+    }
+
     /// Handles the disconnection of a caller, or a cancellation: the request is not answered.
     pub fn handle_abandoned(&mut self, now: Micros, reference: Reference) {
         let Some(id) = self.requests.id_of(reference) else {
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -9,7 +9,7 @@
 use crate::supervision::{Subsystem, Supervisor};
 use futures_lite::future;
 use pipitlever_reactor::{next_poll, Async, Timer};
-use pipitlever_wire::jsonrpc::GatewayReader;
+use pipitlever_wire::jsonrpc::{GatewayReader, Message};
 use pipitlever_wire::uwsgi::PacketReader;
 use std::cell::RefCell;
 use std::io::ErrorKind;
@@ -201,6 +201,11 @@
                 |name| state.borrow().tenant_index(name),
             );
             let Some(message) = message else { break };
+            if stream.is_read_closed() && matches!(message, Message::Work(_)) {
+                // The end of the connection follows these bytes: the client has left.
+                state.borrow_mut().core.count_unread_request();
+                continue;
+            }
             state.borrow_mut().handle_gateway_message(id, message);
             if reader.is_broken() {
                 state.borrow_mut().connections.close_outbox(id);
@@ -255,6 +260,10 @@
             .and_then(|reader| reader.feed(&bytes[..length]));
         if let Some(packet) = packet {
             reader = None;
+            if stream.is_read_closed() && packet.is_ok() {
+                state.borrow_mut().core.count_unread_request();
+                return;
+            }
             state.borrow_mut().handle_uwsgi_packet(id, packet);
         }
         state.borrow_mut().record_activity(id, reader.is_some());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -517,6 +517,11 @@
         );
     }
 
+    /// Waits until bytes have arrived, and leaves them unread.
+    pub fn wait_for_bytes(&self) {
+        assert!(self.stream.peek(&mut [0]).expect("bytes") > 0);
+    }
+
     /// The next message; `Null` at the end of the connection.
     pub fn receive(&mut self) -> Value {
         let mut line = String::new();
--- a/crates/node/tests/repeats.rs
+++ b/crates/node/tests/repeats.rs
@@ -396,3 +396,56 @@
         expect_result(&mut gateway, b"served");
     }
 }
+
+/// Guards against runs for a client that has left: it closed its connection while its requests were
+/// unread. A key that comes again on another connection runs once.
+#[test]
+fn unread_requests_of_a_client_that_has_left_do_not_run() {
+    const REQUESTS: u64 = 5;
+    for has_reset in [false, true] {
+        let mut processor = Processor::new();
+        let operator_file = uwsgi_operator_file(None, "processor");
+        let entries = json!({"processor": processor.address()});
+        let node = Node::start(entries, Some(&operator_file));
+        processor.accept_running();
+        let mut later = node.ready();
+        let mut leaving = node.gateway();
+        // The node is stopped until the client has written and left.
+        node.signal("-STOP");
+        if has_reset {
+            // A close with unread bytes resets the connection.
+            leaving.send("alive", json!({}));
+            node.signal("-CONT");
+            leaving.wait_for_bytes();
+            node.signal("-STOP");
+        }
+        for number in 0..REQUESTS {
+            let key = format!("gateway-{number}");
+            leaving.send("swap-confirm", request_params(5000, Some(&key), b"left"));
+        }
+        drop(leaving);
+        let key = [("HTTP_IDEMPOTENCY_KEY", "uwsgi")];
+        drop(node.uwsgi_client(&packet("/swap", &key, b"left")));
+        node.signal("-CONT");
+        // Runs are started in order, so that the first one shows whether others were started.
+        later.send(
+            "swap-confirm",
+            request_params(5000, Some("gateway-0"), b"left"),
+        );
+        let (id, _) = processor.begin();
+        processor.complete(&id, "fine", b"once");
+        expect_result(&mut later, b"once");
+        let client = node.uwsgi_client(&packet("/swap", &key, b"left"));
+        let (id, _) = processor.begin();
+        processor.complete(&id, "fine", b"once");
+        assert_eq!(read_response(client).0, 200);
+        node.signal("-USR1");
+        let counters = node.wait_for_line("counters: ");
+        let count = |name: &str| Node::counter(&counters, name);
+        assert_eq!(
+            (count("runs"), count("gone")),
+            (2, REQUESTS + 1),
+            "{counters}"
+        );
+    }
+}
