Check the variables of a uwsgi packet once, and without copies

Cause: PacketReader parsed all variables again after each read until the body was complete, compared each name with all before it, and copied each name and value.

Why this works: the head is checked once, by a set, and variables are looked up in the packet's bytes.

--- a/crates/wire/src/uwsgi/packet.rs
+++ b/crates/wire/src/uwsgi/packet.rs
@@ -2,6 +2,7 @@
 
 use super::Status;
 use crate::parse_decimal;
+use std::collections::HashSet;
 
 /// Length of a packet's header, in bytes.
 const HEADER_LENGTH: usize = 4;
@@ -12,14 +13,9 @@
 /// Longest time that a client may wait, in milliseconds: an hour.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
 
-/// The name and the value of a variable.
-type Variable = (String, Vec<u8>);
-
 /// A complete request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Packet {
-    /// The variables, in order.
-    variables: Vec<Variable>,
     /// Where the body begins in `bytes`.
     body_start: usize,
     bytes: Vec<u8>,
@@ -28,8 +24,7 @@
 impl Packet {
     /// A variable's value; an empty one counts as absent, as in CGI.
     pub fn variable(&self, name: &str) -> Option<&[u8]> {
-        let (_, value) = self.variables.iter().find(|(n, _)| n == name)?;
-        (!value.is_empty()).then_some(value.as_slice())
+        find_variable(&self.bytes, name).filter(|value| !value.is_empty())
     }
 
     /// The path that selects the route (`PATH_INFO`).
@@ -88,6 +83,16 @@
 pub struct PacketReader {
     buffer: Vec<u8>,
     max_body: usize,
+    /// The parts of the packet, once its variables are complete. They are checked once, as the body
+    /// may arrive in many pieces.
+    layout: Option<PacketLayout>,
+}
+
+/// Where the parts of a packet are in its bytes.
+#[derive(Clone, Copy, Debug)]
+struct PacketLayout {
+    body_start: usize,
+    end: usize,
 }
 
 impl PacketReader {
@@ -96,6 +101,7 @@
         PacketReader {
             buffer: Vec::new(),
             max_body,
+            layout: None,
         }
     }
 
@@ -106,7 +112,31 @@
         self.parse().transpose()
     }
 
+    /// Memory of the bytes that were read, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     fn parse(&mut self) -> Result<Option<Packet>, Status> {
+        if self.layout.is_none() {
+            self.layout = self.parse_head()?;
+            if let Some(PacketLayout { end, .. }) = self.layout {
+                // The whole packet, instead of twice the part that has arrived.
+                let missing = end.saturating_sub(self.buffer.len());
+                self.buffer.reserve_exact(missing);
+            }
+        }
+        let layout = self.layout.filter(|layout| self.buffer.len() >= layout.end);
+        let Some(PacketLayout { body_start, end }) = layout else {
+            return Ok(None);
+        };
+        let mut bytes = std::mem::take(&mut self.buffer);
+        bytes.truncate(end);
+        Ok(Some(Packet { body_start, bytes }))
+    }
+
+    /// Checks the header and the variables, once they are complete.
+    fn parse_head(&self) -> Result<Option<PacketLayout>, Status> {
         let Some(&[modifier, low, high, _]) = self.buffer.first_chunk::<HEADER_LENGTH>() else {
             // A client of another protocol may never send the rest of the header.
             return if self.buffer.first().is_some_and(|&m| m != 0) {
@@ -126,31 +156,19 @@
         let Some(block) = self.buffer.get(HEADER_LENGTH..body_start) else {
             return Ok(None);
         };
-        let variables = parse_variables(block).ok_or(Status::BadRequest)?;
-        let length = content_length(&variables)?;
+        check_variables(block).ok_or(Status::BadRequest)?;
+        let length = content_length(find_variable(&self.buffer, "CONTENT_LENGTH"))?;
         if length > self.max_body {
             return Err(Status::TooLarge);
         }
         let end = body_start + length;
-        if self.buffer.len() < end {
-            return Ok(None);
-        }
-        let mut bytes = std::mem::take(&mut self.buffer);
-        bytes.truncate(end);
-        Ok(Some(Packet {
-            variables,
-            body_start,
-            bytes,
-        }))
+        Ok(Some(PacketLayout { body_start, end }))
     }
 }
 
 /// The length of the body; 0 if the variables do not state it.
-fn content_length(variables: &[Variable]) -> Result<usize, Status> {
-    let stated = variables
-        .iter()
-        .find(|(name, value)| name == "CONTENT_LENGTH" && !value.is_empty());
-    let Some((_, text)) = stated else {
+fn content_length(variable: Option<&[u8]>) -> Result<usize, Status> {
+    let Some(text) = variable.filter(|text| !text.is_empty()) else {
         return Ok(0);
     };
     if !text.iter().all(u8::is_ascii_digit) {
@@ -169,19 +187,18 @@
     Some(text)
 }
 
-/// Parses names and values, each prefixed with its length. A repeated name is an error, as the node
-/// and the worker could use different values.
-fn parse_variables(mut block: &[u8]) -> Option<Vec<Variable>> {
-    let mut variables: Vec<Variable> = Vec::new();
+/// Checks names and values, each prefixed with its length; none if they are malformed. A repeated
+/// name is an error, as the node and the worker could use different values.
+fn check_variables(mut block: &[u8]) -> Option<()> {
+    let mut names = HashSet::new();
     while !block.is_empty() {
-        let name = String::from_utf8(take_string(&mut block)?.to_vec()).ok()?;
-        let value = take_string(&mut block)?.to_vec();
-        if name.is_empty() || variables.iter().any(|(n, _)| *n == name) {
+        let name = std::str::from_utf8(take_string(&mut block)?).ok()?;
+        take_string(&mut block)?;
+        if name.is_empty() || !names.insert(name) {
             return None;
         }
-        variables.push((name, value));
     }
-    Some(variables)
+    Some(())
 }
 
 /// Finds the value of a variable in the bytes of a complete packet.
