Bound the memory of incomplete uwsgi packets

Cause: a connection counts with 24 KB, and its incomplete packet could take 74 KB in all, for each of the connections that the descriptors allow.

Why this works: what an incomplete packet takes beyond 8 KB counts towards a limit over all connections, a twentieth of the memory that is divided. Beyond it the longest-silent client is answered with 503, whose promise holds, and its packet is dropped.

Without the limit clients_that_stop_half_way_through_a_large_request_stay_within_the_memory_limit fails.

--- a/crates/core/src/memory_limits.rs
+++ b/crates/core/src/memory_limits.rs
@@ -21,11 +21,13 @@
     pub keys: usize,
     /// Answers that are queued for writing.
     pub answers: usize,
+    /// Incomplete messages, beyond the memory that each connection has in any case.
+    pub incomplete: usize,
 }
 
 impl MemoryLimits {
-    /// Divides the memory of a process, in bytes, that has at most this many connections. A tenth
-    /// of what remains after the fixed costs stays unused.
+    /// Divides the memory of a process, in bytes, that has at most this many connections. A
+    /// twentieth of what remains after the fixed costs stays unused.
     pub fn for_process(memory: usize, connections: usize) -> MemoryLimits {
         let fixed = PROCESS_BYTES + connections * CONNECTION_BYTES;
         let divided = memory.saturating_sub(fixed).max(MIN_DIVIDED_BYTES);
@@ -33,6 +35,7 @@
             requests: divided / 10 * 3,
             keys: divided / 10 * 4,
             answers: divided / 10 * 2,
+            incomplete: divided / 20,
         }
     }
 }
--- a/crates/core/tests/requests.rs
+++ b/crates/core/tests/requests.rs
@@ -193,8 +193,10 @@
             requests,
             keys,
             answers,
+            incomplete,
         } = MemoryLimits::for_process(memory, connections);
-        let all = PROCESS_BYTES + connections * CONNECTION_BYTES + requests + keys + answers;
+        let tables = requests + keys + answers + incomplete;
+        let all = PROCESS_BYTES + connections * CONNECTION_BYTES + tables;
         assert!(all <= memory && all > memory * 8 / 10, "{all} of {memory}");
     }
 }
--- a/crates/node/src/net/connections/connection.rs
+++ b/crates/node/src/net/connections/connection.rs
@@ -48,6 +48,8 @@
     pub written: Notify,
     /// Bytes that wait to be written or are being written.
     pub unsent_bytes: usize,
+    /// Counted memory of its incomplete message, in bytes.
+    pub incomplete_bytes: usize,
     /// Requests without an answer, by their number on this connection.
     pub open_requests: HashMap<u64, OpenRequest>,
     /// When a request or a health check last arrived, or an answer was last sent.
@@ -74,6 +76,7 @@
             close_requested: Notify::new(),
             written: Notify::new(),
             unsent_bytes: 0,
+            incomplete_bytes: 0,
             open_requests: HashMap::new(),
             last_use: now,
             last_activity: now,
@@ -91,6 +94,11 @@
         self.partial_since = has_partial_message.then(|| self.partial_since.unwrap_or(now));
     }
 
+    /// When bytes last arrived.
+    pub fn last_activity(&self) -> Micros {
+        self.last_activity
+    }
+
     /// Records a request or a health check.
     pub fn mark_identified(&mut self, now: Micros) {
         self.last_use = now;
--- a/crates/node/src/net/connections/mod.rs
+++ b/crates/node/src/net/connections/mod.rs
@@ -8,7 +8,7 @@
 use crate::net::notify::Notify;
 use connection::{Connection, OpenRequest};
 use pipitlever_admission::Micros;
-use pipitlever_core::{Origin, Reference};
+use pipitlever_core::{MemoryLimits, Origin, Reference};
 use std::collections::HashMap;
 
 /// Limit on unsent bytes of one connection: more than the answers to all its open requests.
@@ -16,6 +16,8 @@
 /// A connection with more unsent bytes than this is not read. Otherwise a peer that sends many short
 /// messages and does not read would make the node keep an answer to each.
 const READING_PAUSE_BYTES: usize = 64 << 10;
+/// Incomplete messages are counted beyond this size, in bytes. `CONNECTION_BYTES` has room for it.
+const FREE_INCOMPLETE_BYTES: usize = 8 << 10;
 /// Limit on unidentified connections in a lingering close; further ones are closed at once.
 /// Identified connections always linger, as their peers may still have answers to read.
 const MAX_UNIDENTIFIED_LINGERING: usize = 32;
@@ -86,8 +88,9 @@
     last_id: u64,
     /// Bytes that wait to be written, over all connections.
     unsent_bytes: usize,
-    /// Limit on `unsent_bytes`.
-    max_unsent_bytes: usize,
+    /// Memory of incomplete messages beyond [`FREE_INCOMPLETE_BYTES`], over all connections.
+    incomplete_bytes: usize,
+    limits: MemoryLimits,
     /// Connections in a lingering close.
     lingering: usize,
     /// Unidentified connections in a lingering close.
@@ -97,23 +100,24 @@
 }
 
 impl ConnectionTable {
-    /// Creates an empty table. `max_unsent_bytes` limits the unsent bytes of all connections
-    /// together.
-    pub fn new(max_unsent_bytes: usize) -> ConnectionTable {
+    /// Creates an empty table. `limits` bounds the unsent bytes and the incomplete messages of all
+    /// connections together.
+    pub fn new(limits: MemoryLimits) -> ConnectionTable {
         ConnectionTable {
             connections: HashMap::new(),
             last_id: 0,
             unsent_bytes: 0,
-            max_unsent_bytes,
+            incomplete_bytes: 0,
+            limits,
             lingering: 0,
             unidentified_lingering: 0,
             freed: Notify::new(),
         }
     }
 
-    /// Changes the limit on the unsent bytes of all connections together.
-    pub fn set_max_unsent_bytes(&mut self, max_unsent_bytes: usize) {
-        self.max_unsent_bytes = max_unsent_bytes;
+    /// Changes the limits on all connections together.
+    pub fn set_limits(&mut self, limits: MemoryLimits) {
+        self.limits = limits;
     }
 
     /// Adds an accepted connection, until [`ConnectionTable::remove`].
@@ -136,6 +140,7 @@
             return Vec::new();
         };
         self.unsent_bytes -= connection.unsent_bytes;
+        self.incomplete_bytes -= connection.incomplete_bytes;
         self.freed.notify();
         connection
             .open_requests
@@ -152,7 +157,7 @@
         };
         let max_length = MAX_UNSENT_BYTES
             .saturating_sub(connection.unsent_bytes)
-            .min(self.max_unsent_bytes.saturating_sub(self.unsent_bytes));
+            .min(self.limits.answers.saturating_sub(self.unsent_bytes));
         let Some(length) = connection.outbox.append(max_length, write) else {
             return false;
         };
@@ -196,6 +201,28 @@
         }
     }
 
+    /// Records the memory of a connection's incomplete message, in bytes.
+    pub fn record_incomplete(&mut self, id: u64, bytes: usize) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            let counted = bytes.saturating_sub(FREE_INCOMPLETE_BYTES);
+            self.incomplete_bytes += counted;
+            self.incomplete_bytes -= std::mem::replace(&mut connection.incomplete_bytes, counted);
+        }
+    }
+
+    /// If incomplete messages exceed their limit: of the connections with a long one that can still
+    /// be answered, the one that has been silent for the longest time.
+    pub fn excess_incomplete(&self) -> Option<u64> {
+        if self.incomplete_bytes <= self.limits.incomplete {
+            return None;
+        }
+        self.connections
+            .iter()
+            .filter(|(_, c)| c.incomplete_bytes > 0 && !c.outbox.is_closed())
+            .min_by_key(|(&id, connection)| (connection.last_activity(), id))
+            .map(|(&id, _)| id)
+    }
+
     /// The number of a connection's open requests; none if it has ended.
     pub fn open_requests(&self, id: u64) -> Option<usize> {
         let connection = self.connections.get(&id)?;
--- a/crates/node/src/net/event_loop/mod.rs
+++ b/crates/node/src/net/event_loop/mod.rs
@@ -144,7 +144,7 @@
             core,
             processor: ProcessorConnection::new(),
             ledger: LedgerCalls::new(),
-            connections: ConnectionTable::new(memory_limits.answers),
+            connections: ConnectionTable::new(memory_limits),
             control: ControlConnections::default(),
             pools: WorkerPools::new(uwsgi.pools(), seed, clock.now()),
             membership: None,
--- a/crates/node/src/net/event_loop/reconfigure.rs
+++ b/crates/node/src/net/event_loop/reconfigure.rs
@@ -80,7 +80,7 @@
     /// and halves all other limits; `None` restores the limits of a node's only process.
     pub fn set_memory_share(&mut self, share: Option<f64>) {
         let memory_limits = self.limits.set_shared(share.is_some());
-        self.connections.set_max_unsent_bytes(memory_limits.answers);
+        self.connections.set_limits(memory_limits);
         self.core.set_memory_share(share, memory_limits);
     }
 }
--- a/crates/node/src/net/event_loop/uwsgi_requests.rs
+++ b/crates/node/src/net/event_loop/uwsgi_requests.rs
@@ -10,6 +10,8 @@
 
 /// Number of the only request of a uwsgi connection.
 const REQUEST_NUMBER: u64 = 1;
+/// The advised retry delay of a client whose incomplete packet is dropped for lack of memory.
+const INCOMPLETE_RETRY_AFTER_S: u64 = 1;
 
 impl NodeState {
     /// Handles a client's complete packet. An invalid packet is answered with an error status.
@@ -26,6 +28,27 @@
         }
     }
 
+    /// Records the memory of a client's incomplete packet, in bytes. If all of these exceed their
+    /// limit, the clients that have been silent for the longest time are rejected: their requests
+    /// have not run.
+    pub fn record_incomplete_packet(&mut self, connection: u64, bytes: usize) {
+        self.connections.record_incomplete(connection, bytes);
+        while let Some(id) = self.connections.excess_incomplete() {
+            self.core.counters.connections_evicted += 1;
+            self.connections.send(id, |out| {
+                uwsgi::write_response(
+                    out,
+                    Status::Unavailable,
+                    Some(INCOMPLETE_RETRY_AFTER_S),
+                    b"",
+                );
+            });
+            self.connections.close_outbox(id);
+            // Its driver drops the packet when it closes the connection.
+            self.connections.record_incomplete(id, 0);
+        }
+    }
+
     fn uwsgi_request(
         &mut self,
         connection: u64,
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -266,7 +266,15 @@
             }
             state.borrow_mut().handle_uwsgi_packet(id, packet);
         }
-        state.borrow_mut().record_activity(id, reader.is_some());
+        let buffered = reader.as_ref().map_or(0, PacketReader::buffered_bytes);
+        {
+            let mut state = state.borrow_mut();
+            state.record_activity(id, reader.is_some());
+            state.record_incomplete_packet(id, buffered);
+        }
+        if outbox.is_closed() {
+            reader = None;
+        }
         yield_after_read(length).await;
     }
 }
--- a/crates/node/tests/floods.rs
+++ b/crates/node/tests/floods.rs
@@ -277,3 +277,42 @@
     }
     writing.join().unwrap();
 }
+
+/// Guards against a process that goes over its memory limit, since hundreds of clients stop half
+/// way through a large request.
+#[test]
+fn clients_that_stop_half_way_through_a_large_request_stay_within_the_memory_limit() {
+    const MEMORY_MB: u64 = 24;
+    const CLIENTS: usize = 300;
+    const BODY_BYTES: usize = 32 << 10;
+    let mut processor = Processor::new();
+    let limits = json!({"sockets": 512, "memory_mb": MEMORY_MB});
+    let worker = Worker::new();
+    let operator_file = uwsgi_operator_file(Some(worker.address()), "workers")
+        .replace("[uwsgi]\n", "[uwsgi]\nmost_body = 32768\n");
+    let entries = json!({"processor": processor.address(), "limits": limits});
+    let node = Node::start(entries, Some(&operator_file));
+    processor.accept_running();
+    node.ready();
+    let key = [("HTTP_IDEMPOTENCY_KEY", "k")];
+    let whole = packet("/swap", &key, &[7; BODY_BYTES]);
+    let half: Vec<TcpStream> = (0..CLIENTS)
+        .map(|_| node.uwsgi_client(&whole[..whole.len() - 1]))
+        .collect();
+    // The longest-silent clients are told that their requests have not run.
+    let mut first = [0; 12];
+    (&half[0]).read_exact(&mut first).unwrap();
+    assert_eq!(&first, b"HTTP/1.1 503");
+    let memory = node.resident_kb();
+    assert!(memory < MEMORY_MB * 1024, "{memory} KB");
+    // A client that sends its whole request is served.
+    let client = node.uwsgi_client(&whole);
+    let (mut stream, received) = worker.accept();
+    assert!(received.ends_with(&[7; BODY_BYTES]));
+    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    stream.write_all(response).unwrap();
+    drop(stream);
+    assert_eq!(read_response(client).0, 200);
+    let memory = node.resident_kb();
+    assert!(memory < MEMORY_MB * 1024, "{memory} KB");
+}
--- a/crates/wire/tests/uwsgi.rs
+++ b/crates/wire/tests/uwsgi.rs
@@ -2,6 +2,7 @@
 
 use pipitlever_wire::uwsgi::{encode_packet, find_variable, PacketReader, ResponseReader};
 use pipitlever_wire::Malformed;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_packet_is_read_in_pieces_as_it_was_encoded() {
@@ -95,3 +96,35 @@
         None
     );
 }
+
+/// Guards against a head that is checked again for each piece of its body, and against comparing
+/// each variable with all before it: a client with many short variables took all of a core.
+#[test]
+fn the_variables_of_a_packet_are_checked_once() {
+    /// The default deadline of a request.
+    const TIME_LIMIT: Duration = Duration::from_secs(5);
+    const VARIABLES: usize = 1_000;
+    const BODY: [u8; 4_000] = [7; 4_000];
+    let names: Vec<String> = (0..VARIABLES).map(|number| format!("{number}")).collect();
+    let mut variables: Vec<(&str, &str)> = names.iter().map(|name| (&**name, "")).collect();
+    let length = BODY.len().to_string();
+    variables.push(("CONTENT_LENGTH", &length));
+    let bytes = encode_packet(&variables, &BODY).unwrap();
+    let mut reader = PacketReader::new(BODY.len());
+    let start = Instant::now();
+    let packet = bytes.iter().find_map(|byte| reader.feed(&[*byte]));
+    assert_eq!(packet.unwrap().unwrap().body(), BODY);
+    assert!(start.elapsed() < TIME_LIMIT, "{:?}", start.elapsed());
+}
+
+#[test]
+fn an_incomplete_packet_takes_no_more_memory_than_the_whole() {
+    const BODY: [u8; 30_000] = [7; 30_000];
+    let length = BODY.len().to_string();
+    let bytes = encode_packet(&[("CONTENT_LENGTH", &length)], &BODY).unwrap();
+    let mut reader = PacketReader::new(BODY.len());
+    for piece in bytes[..bytes.len() - 1].chunks(100) {
+        assert_eq!(reader.feed(piece), None);
+        assert!(reader.buffered_bytes() <= bytes.len());
+    }
+}
