--- a/crates/wire/tests/uwsgi.rs
+++ b/crates/wire/tests/uwsgi.rs
@@ -119,7 +119,7 @@
 
 #[test]
 fn an_incomplete_packet_takes_no_more_memory_than_the_whole() {
-    const BODY: [u8; 30_000] = [7; 30_000];
+    static BODY: [u8; 30_000] = [7; 30_000];
     let length = BODY.len().to_string();
     let bytes = encode_packet(&[("CONTENT_LENGTH", &length)], &BODY).unwrap();
     let mut reader = PacketReader::new(BODY.len());
