--- a/crates/node/tests/closing.rs
+++ b/crates/node/tests/closing.rs
@@ -279,6 +279,30 @@
     assert!(node.wait().success());
 }
 
+/// Guards against a close of a connection while messages that were read wait for their turn, behind
+/// more messages than one turn handles.
+#[test]
+fn a_drain_answers_a_request_behind_many_messages() {
+    const HEALTH_CHECKS: u64 = 200;
+    let (mut node, mut processor, _gateway) = start_node(json!({"stop_ms": 4000}));
+    let mut stream = connect_and_check_health(&node);
+    let mut text = String::new();
+    for id in 2..2 + HEALTH_CHECKS {
+        text += &format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"alive\"}}\n");
+    }
+    text += &request_line(2 + HEALTH_CHECKS, &request_params(3000, None, b"last"));
+    // All bytes and the signal are there when the node goes on.
+    node.signal("-STOP");
+    stream.write_all(text.as_bytes()).unwrap();
+    node.signal("-TERM");
+    node.signal("-CONT");
+    let (id, body) = processor.begin();
+    assert_eq!(body, b"last");
+    processor.complete(&id, "fine", b"answered");
+    assert!(read_until_end(&mut stream).contains(&base64(b"answered")));
+    assert!(node.wait().success());
+}
+
 /// Requests that arrive after the grace period are rejected as not run, on every connection, until
 /// the process ends.
 #[test]
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -404,21 +404,25 @@
     .unwrap();
 }
 
-/// The connection can end while both processes run: then the process that has yielded must not
-/// serve as well.
-#[test]
-fn a_process_that_has_yielded_serves_again_only_once_its_successor_has_ended() {
-    let mut environment = NodeEnvironment::new("yielded");
-    let (mut old, _old_processor, control) = environment.start_first();
+/// Connects to a predecessor with a greeting in this version, and receives its welcome.
+fn connect_as_successor(environment: &NodeEnvironment, version: u16) -> (UnixStream, Decoder) {
     let mut stream = UnixStream::connect(environment.socket()).unwrap();
     stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    stream
-        .write_all(&message::greeting(message::VERSION))
-        .unwrap();
+    stream.write_all(&message::greeting(version)).unwrap();
     let mut reader = Decoder::default();
     receive_until(&mut stream, &mut reader, |m| {
         matches!(m, Message::Welcome(_))
     });
+    (stream, reader)
+}
+
+/// The connection can end while both processes run: then the process that has yielded must not
+/// serve as well.
+#[test]
+fn a_process_that_has_yielded_serves_again_only_once_its_successor_has_ended() {
+    let mut environment = NodeEnvironment::new("yielded");
+    let (mut old, _old_processor, control) = environment.start_first();
+    let (mut stream, mut reader) = connect_as_successor(&environment, message::VERSION);
     send(&mut stream, &Message::Freeze);
     receive_until(&mut stream, &mut reader, |m| {
         matches!(m, Message::SnapshotComplete { .. })
@@ -510,15 +514,7 @@
     let (id, _) = old_processor.begin();
     old_processor.complete(&id, "fine", b"once");
     assert_eq!(served(&gateway.receive()), base64(b"once"));
-    let mut stream = UnixStream::connect(environment.socket()).unwrap();
-    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    stream
-        .write_all(&message::greeting(message::OLDEST_VERSION))
-        .unwrap();
-    let mut reader = Decoder::default();
-    receive_until(&mut stream, &mut reader, |m| {
-        matches!(m, Message::Welcome(_))
-    });
+    let (mut stream, mut reader) = connect_as_successor(&environment, message::OLDEST_VERSION);
     assert_eq!(reader.peer_version(), Some(message::OLDEST_VERSION));
     send(&mut stream, &Message::Freeze);
     receive_until(&mut stream, &mut reader, |m| match m {
